Add the design page, the build, and the base, protocol and platform interfaces

The repository was empty. The design page lists every requirement and figure, the alternatives that were weighed and the module interfaces. base holds ids, clock, timer queue, refusals and digests; protocol the messages between daemons and their MessagePack form; platform the hooks behind which the table service, object store and host list lie.

--- /dev/null
+++ b/cmake/dependencies.cmake
@@ -0,0 +1,16 @@
+# Every library comes from Debian's packages; scripts/install_packages.sh
+# lists them. RESTinio needs fmt and Threads to be found before it.
+find_package(Threads REQUIRED)
+find_package(fmt REQUIRED)
+find_package(restinio REQUIRED)
+find_package(absl REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(CURL REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(Boost REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(nghttp2 REQUIRED IMPORTED_TARGET libnghttp2)
+pkg_check_modules(log4cplus REQUIRED IMPORTED_TARGET log4cplus)
+pkg_check_modules(urcu REQUIRED IMPORTED_TARGET liburcu-memb)
+find_path(DOCOPT_INCLUDE docopt.h PATH_SUFFIXES docopt REQUIRED)
+find_library(DOCOPT_LIBRARY docopt REQUIRED)
--- /dev/null
+++ b/scripts/run_tests.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Installs packages, builds, checks format and lint, and runs every test.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/install_packages.sh
+scripts/build.sh build
+scripts/check_style.sh
+ctest --test-dir build --output-on-failure --parallel 4
--- /dev/null
+++ b/src/base/clock.cpp
@@ -0,0 +1,36 @@
+#include "base/clock.hpp"
+
+namespace bronzehub::base {
+namespace {
+
+// Paused clocks start away from the epoch, so that code that subtracts a
+// timeout from "now" does not reach a negative time.
+constexpr duration paused_start = std::chrono::hours(24);
+
+time_point at(duration elapsed) {
+    return time_point(paused_start + elapsed);
+}
+
+}  // namespace
+
+clock system_clock() {
+    return clock([] { return std::chrono::steady_clock::now(); });
+}
+
+paused_clock::paused_clock()
+    : elapsed_(std::make_shared<std::atomic<duration::rep>>(0)) {}
+
+clock paused_clock::view() const {
+    return clock(
+        [elapsed = elapsed_] { return at(duration(elapsed->load())); });
+}
+
+time_point paused_clock::now() const {
+    return at(duration(elapsed_->load()));
+}
+
+void paused_clock::advance(duration step) {
+    elapsed_->fetch_add(step.count());
+}
+
+}  // namespace bronzehub::base
