--- /dev/null
+++ b/src/calls/event_splitter.cpp
@@ -0,0 +1,44 @@
+#include "calls/event_splitter.hpp"
+
+namespace bronzehub::calls {
+namespace {
+
+constexpr std::string_view separator = "\n\n";
+constexpr std::string_view data_prefix = "data: ";
+constexpr std::string_view done_event = "data: [DONE]";
+
+}  // namespace
+
+std::string_view event_splitter::feed(std::span<const char> bytes) {
+    // The separator may straddle the old and the new bytes.
+    const std::size_t search_from = partial_.empty() ? 0 : partial_.size() - 1;
+    partial_.append(bytes.data(), bytes.size());
+    const std::size_t last = partial_.rfind(separator);
+    if (last == std::string::npos || last < search_from) {
+        overflowed_ = overflowed_ || partial_.size() > max_event_bytes;
+        return {};
+    }
+    const std::size_t end = last + separator.size();
+    whole_.assign(partial_, 0, end);
+    partial_.erase(0, end);
+    overflowed_ = overflowed_ || partial_.size() > max_event_bytes;
+
+    std::string_view rest = whole_;
+    while (!rest.empty()) {
+        const std::size_t size = rest.find(separator);
+        count_event(rest.substr(0, size));
+        rest.remove_prefix(size + separator.size());
+    }
+    return whole_;
+}
+
+void event_splitter::count_event(std::string_view event) {
+    if (event == done_event) {
+        done_ = true;
+    } else if (event.starts_with(data_prefix)) {
+        ++events_;
+        last_event_ = event.substr(data_prefix.size());
+    }
+}
+
+}  // namespace bronzehub::calls
