--- /dev/null
+++ b/src/base/json_fields.cpp
@@ -0,0 +1,206 @@
+#include "base/json_fields.hpp"
+
+#include <cmath>
+#include <unordered_set>
+
+namespace bronzehub::base {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t longest_found = 60;
+
+// Walks a document without building it, and reports what the parser of the
+// library accepts silently: a key that occurs twice in one object.
+class duplicate_finder : public nlohmann::json_sax<json> {
+public:
+    explicit duplicate_finder(json_faults& faults) : faults_(faults) {}
+
+    bool null() override { return value(); }
+    bool boolean(bool) override { return value(); }
+    bool number_integer(number_integer_t) override { return value(); }
+    bool number_unsigned(number_unsigned_t) override { return value(); }
+    bool number_float(number_float_t, const string_t&) override {
+        return value();
+    }
+    bool string(string_t&) override { return value(); }
+    bool binary(binary_t&) override { return value(); }
+    bool start_object(std::size_t) override { return open(false); }
+    bool start_array(std::size_t) override { return open(true); }
+    bool end_object() override { return close(); }
+    bool end_array() override { return close(); }
+
+    bool key(string_t& name) override {
+        frame& object = frames_.back();
+        object.path = member_path(object.base, name);
+        if (!object.seen.insert(name).second) {
+            faults_.push_back({object.path, "duplicate key", "one value"});
+        }
+        return true;
+    }
+
+    bool parse_error(std::size_t position, const std::string&,
+                     const nlohmann::detail::exception& error) override {
+        faults_.push_back({"byte " + std::to_string(position), error.what(),
+                           "a JSON document"});
+        return false;
+    }
+
+private:
+    struct frame {
+        std::string base;
+        bool is_array = false;
+        std::size_t next_index = 0;
+        std::string path;
+        std::unordered_set<std::string> seen;
+    };
+
+    // Path of the value that begins now; counts elements of an array.
+    std::string next_path() {
+        if (frames_.empty()) {
+            return "";
+        }
+        frame& parent = frames_.back();
+        return parent.is_array ? element_path(parent.base, parent.next_index++)
+                               : parent.path;
+    }
+
+    bool value() {
+        next_path();
+        return true;
+    }
+
+    bool open(bool is_array) {
+        frame opened;
+        opened.base = next_path();
+        opened.is_array = is_array;
+        frames_.push_back(std::move(opened));
+        return true;
+    }
+
+    bool close() {
+        frames_.pop_back();
+        return true;
+    }
+
+    json_faults& faults_;
+    std::vector<frame> frames_;
+};
+
+std::string format_number(double value) {
+    if (value == std::floor(value) && std::abs(value) <= any_count.high) {
+        return std::to_string(static_cast<std::int64_t>(value));
+    }
+    return json(value).dump();
+}
+
+}  // namespace
+
+std::string to_string(std::span<const json_fault> faults) {
+    std::string lines;
+    for (const json_fault& fault : faults) {
+        lines.append(lines.empty() ? "" : "\n");
+        lines.append(fault.path.empty() ? "(document)" : fault.path);
+        lines.append(": found ").append(fault.found);
+        lines.append(", expected ").append(fault.expected);
+    }
+    return lines;
+}
+
+absl::Status status_of(std::span<const json_fault> faults) {
+    return faults.empty() ? absl::OkStatus()
+                          : absl::InvalidArgumentError(to_string(faults));
+}
+
+nlohmann::json parse_json(std::string_view text, json_faults& faults) {
+    duplicate_finder finder(faults);
+    if (!json::sax_parse(text, &finder)) {
+        return json(json::value_t::discarded);
+    }
+    return json::parse(text, nullptr, false);
+}
+
+std::string dump_json(const nlohmann::json& value) {
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::string member_path(std::string_view parent, std::string_view key) {
+    std::string path(parent);
+    path.append(parent.empty() ? "" : ".");
+    return path.append(key);
+}
+
+std::string element_path(std::string_view parent, std::size_t index) {
+    return std::string(parent) + "[" + std::to_string(index) + "]";
+}
+
+std::string shorten(const nlohmann::json& value) {
+    std::string text = dump_json(value);
+    if (text.size() > longest_found) {
+        text.resize(longest_found);
+        text += "...";
+    }
+    return text;
+}
+
+json_reader::json_reader(const nlohmann::json& object, std::string path,
+                         json_faults& faults)
+    : object_(object), path_(std::move(path)), faults_(faults) {}
+
+void json_reader::report_missing(std::string_view key) {
+    faults_.push_back({member_path(path_, key), "nothing", "a value"});
+}
+
+void json_reader::finish() {
+    for (const auto& [key, value] : object_.items()) {
+        if (std::find(known_.begin(), known_.end(), key) == known_.end()) {
+            faults_.push_back(
+                {member_path(path_, key), "unknown key", "no such key"});
+        }
+    }
+}
+
+namespace detail {
+
+std::string describe_range(std::string_view kind, number_range range) {
+    return std::string(kind) + " from " + format_number(range.low) + " to " +
+           format_number(range.high);
+}
+
+bool read_integer(const place& at, number_range range, std::uint64_t& out) {
+    const bool fits = at.value.is_number_unsigned() &&
+                      at.value.get<double>() >= range.low &&
+                      at.value.get<double>() <= range.high;
+    if (!fits) {
+        at.report(describe_range("integer", range));
+        return false;
+    }
+    out = at.value.get<std::uint64_t>();
+    return true;
+}
+
+void read_number(const place& at, number_range range, double& out) {
+    const bool fits = at.value.is_number() &&
+                      at.value.get<double>() >= range.low &&
+                      at.value.get<double>() <= range.high;
+    if (!fits) {
+        at.report(describe_range("number", range));
+        return;
+    }
+    out = at.value.get<double>();
+}
+
+void read_text(const place& at, const text_rule& rule, std::string& out) {
+    if (!at.value.is_string()) {
+        at.report(rule.expected.empty() ? "string"
+                                        : std::string(rule.expected));
+        return;
+    }
+    out = at.value.get<std::string>();
+    if (rule.accepts != nullptr && !rule.accepts(out)) {
+        at.report(std::string(rule.expected));
+    }
+}
+
+}  // namespace detail
+}  // namespace bronzehub::base
