--- /dev/null
+++ b/src/settings/settings_test.cpp
@@ -0,0 +1,167 @@
+#include "settings/settings.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "settings/settings_table.hpp"
+
+namespace bronzehub::settings {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* example_path = "examples/bronzehubd.json";
+
+std::string read_file(const std::string& path) {
+    std::ifstream input(path);
+    std::ostringstream content;
+    content << input.rdbuf();
+    return content.str();
+}
+
+std::optional<std::string> fake_environment(const std::string& name) {
+    if (name == "BRONZEHUB_PEER_KEY") {
+        return "0123456789abcdef";
+    }
+    return std::nullopt;
+}
+
+load_result load(const std::string& text) {
+    return load_settings(text, "test.json", fake_environment);
+}
+
+json example() {
+    return json::parse(read_file(example_path), nullptr, true, true);
+}
+
+std::vector<std::string> fault_keys(const load_result& result) {
+    std::vector<std::string> keys;
+    keys.reserve(result.faults.size());
+    for (const settings_fault& fault : result.faults) {
+        keys.push_back(fault.key);
+    }
+    return keys;
+}
+
+// Guards against an example that users copy and that does not start.
+TEST_CASE("the example file has no faults") {
+    const load_result result =
+        load_settings_file(example_path, fake_environment);
+
+    for (const settings_fault& fault : result.faults) {
+        UNSCOPED_INFO(to_string(fault));
+    }
+    REQUIRE(result.faults.empty());
+    CHECK(result.settings.host.name == "entry-1");
+    CHECK(result.settings.peers.seeds.size() == 3);
+    CHECK(result.settings.peers.shared_key == "0123456789abcdef");
+    CHECK(result.settings.listeners.peers_advertised == "10.1.0.11:8082");
+    CHECK(result.settings.limits.header_timeout == std::chrono::seconds(5));
+}
+
+// Guards against a reference page that describes an older release.
+TEST_CASE("docs/settings.md is what the table generates") {
+    CHECK(read_file("docs/settings.md") == settings_reference());
+}
+
+// Guards against a default that the parser itself would refuse.
+TEST_CASE("every default is accepted when it is given in the file") {
+    json document = example();
+    for (const setting_row& row : settings_table()) {
+        if (row.fallback) {
+            std::string pointer = "/" + std::string(row.key);
+            std::ranges::replace(pointer, '.', '/');
+            document[json::json_pointer(pointer)] = json::parse(*row.fallback);
+        }
+    }
+    CHECK(fault_keys(load(document.dump())).empty());
+}
+
+// Guards against a value that is out of range or of the wrong type and reaches
+// the daemon, and against a fault reported under another key.
+TEST_CASE("a bad value is reported at its key") {
+    const auto [pointer, value,
+                key] = GENERATE(table<std::string, json, std::string>({
+        {"/host/name", "Entry 1", "host.name"},
+        {"/host/name", 7, "host.name"},
+        {"/host/colour", "red", "host.colour"},
+        {"/hosts", json::object(), "hosts"},
+        {"/host", "entry-1", "host"},
+        {"/listeners/callers", "localhost:80", "listeners.callers"},
+        {"/listeners/callers", "10.0.0.1:0", "listeners.callers"},
+        {"/listeners/callers", "10.0.0.1:70000", "listeners.callers"},
+        {"/listeners/callers", "10.1.0.11:8081", "listeners.operators"},
+        {"/listeners/peers_advertised", "0.0.0.0:1",
+         "listeners.peers_advertised"},
+        {"/peers/seeds/1/address", "10.2.0.11", "peers.seeds[1].address"},
+        {"/peers/seeds/1/weight", 1, "peers.seeds[1].weight"},
+        {"/peers/seeds/1", "entry-4", "peers.seeds[1]"},
+        {"/peers/seeds/1/host", "entry-7", "peers.seeds[2].host"},
+        {"/peers/seeds/0/address", "10.9.9.9:1", "peers.seeds[0].address"},
+        {"/peers/shared_key", "0123456789abcdef0", "peers.shared_key_variable"},
+        {"/peers/shared_key_variable", "UNSET_VARIABLE",
+         "peers.shared_key_variable"},
+        {"/platform/table", "10.0.0.2:9000", "platform.table"},
+        {"/platform/connect_timeout_ms", 5000, "platform.connect_timeout_ms"},
+        {"/threads/workers", 0, "threads.workers"},
+        {"/threads/workers", 2.5, "threads.workers"},
+        {"/threads/workers", 18446744073709551615ULL, "threads.workers"},
+        {"/limits/buffered_bytes", 1048576, "limits.buffered_bytes"},
+        {"/limits/waiting_calls", 10,
+         "limits.waiting_calls_per_organisation_and_service"},
+        {"/limits/read_timeout_ms", 100, "limits.read_timeout_ms"},
+        {"/log/level", "loud", "log.level"},
+        {"/initial_configuration", "none", "initial_configuration"},
+    }));
+    json document = example();
+    document[json::json_pointer(pointer)] = value;
+    CAPTURE(pointer, value);
+
+    CHECK(fault_keys(load(document.dump())) == std::vector{key});
+}
+
+// Guards against a run that stops at the first fault.
+TEST_CASE("one run reports all faults with found and expected") {
+    const load_result result = load(R"({
+        "host": {"name": "a", "name": "b", "region": "r"},
+        "listeners": {"callers": 5},
+        "limits": {"header_bytes": 1},
+        "peers": {"seeds": [{"host": "x", "host": "y"}]}
+    })");
+
+    CHECK(fault_keys(result) ==
+          std::vector<std::string>{"host.name", "peers.seeds[0].host",
+                                   "host.failure_domain", "limits.header_bytes",
+                                   "listeners.callers", "listeners.operators",
+                                   "listeners.peers", "peers.seeds[0].address",
+                                   "platform.table", "platform.object_store",
+                                   "platform.host_list", "peers.shared_key"});
+    CHECK(std::ranges::all_of(result.faults, [](const settings_fault& fault) {
+        return fault.file == "test.json" && !fault.found.empty() &&
+               !fault.expected.empty();
+    }));
+}
+
+// Guards against a syntax error without its place.
+TEST_CASE("a syntax error names line and column") {
+    const load_result result = load("{\n  \"host\": }");
+
+    REQUIRE_FALSE(result.faults.empty());
+    CHECK(to_string(result.faults[0]).find("line 2") != std::string::npos);
+}
+
+// Guards against a key that ends up in a log or on a screen.
+TEST_CASE("a fault never shows the shared key") {
+    json document = example();
+    document["peers"]["shared_key"] = "hunter2";
+
+    for (const settings_fault& fault : load(document.dump()).faults) {
+        CHECK(to_string(fault).find("hunter2") == std::string::npos);
+    }
+}
+
+}  // namespace
+}  // namespace bronzehub::settings
