--- /dev/null
+++ b/src/logging/logging_test.cpp
@@ -0,0 +1,93 @@
+#include "logging/logging.hpp"
+
+#include <catch2/catch.hpp>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace bronzehub::logging {
+namespace {
+
+struct captured_log {
+    explicit captured_log(std::vector<std::string> secrets = {})
+        : log({level::info, std::move(secrets),
+               [] {
+                   return std::chrono::system_clock::time_point(
+                       std::chrono::milliseconds(1'500));
+               }},
+              [this](level, std::string_view line) {
+                  lines.emplace_back(line);
+              }) {}
+
+    std::vector<std::string> lines;
+    logger log;
+};
+
+// Guards against a line that tools cannot parse or that forges another line.
+TEST_CASE("a line is one JSON object with typed fields in order") {
+    captured_log captured;
+
+    captured.log.warning(
+        "backend \"a\"\nfailed",
+        {field("address", "10.0.0.1:80\xff"), field("attempts", 3),
+         field("share", 0.5), field("leaving", true),
+         field("delay_ms", std::chrono::seconds(2)),
+         field("service", base::service_id(4))});
+
+    REQUIRE(captured.lines.size() == 1);
+    CHECK(captured.lines[0].find('\n') == std::string::npos);
+    CHECK(captured.lines[0].starts_with(
+        R"({"time":"1970-01-01T00:00:01.500Z","level":"warning",)"));
+    const auto line = nlohmann::json::parse(captured.lines[0]);
+    CHECK(line["message"] == "backend \"a\"\nfailed");
+    CHECK(line["attempts"] == 3);
+    CHECK(line["share"] == 0.5);
+    CHECK(line["leaving"] == true);
+    CHECK(line["delay_ms"] == 2000);
+    CHECK(line["service"] == 4);
+}
+
+// Guards against credentials in the log, whether in a field of their own or
+// inside an error text.
+TEST_CASE("secrets are hidden by field name and by value") {
+    captured_log captured({"peer-key-1", "abc"});
+
+    captured.log.error(
+        "handshake with peer-key-1 failed",
+        {field("error", "got peer-key-1, abc"),
+         field("authorization", "Bearer x"), field("operator_token", "t")});
+
+    const auto line = nlohmann::json::parse(captured.lines.at(0));
+    CHECK(line["message"] == "handshake with [hidden] failed");
+    CHECK(line["error"] == "got [hidden], abc");
+    CHECK(line["authorization"] == "[hidden]");
+    CHECK(line["operator_token"] == "[hidden]");
+}
+
+// Guards against a metric of errors that depends on the configured log level.
+TEST_CASE("lines below the least level are counted and not written") {
+    captured_log captured;
+
+    captured.log.debug("one");
+    captured.log.info("two");
+    captured.log.info("three");
+
+    CHECK(captured.lines.size() == 2);
+    CHECK(captured.log.count(level::debug) == 1);
+    CHECK(captured.log.count(level::info) == 2);
+    CHECK(captured.log.count(level::error) == 0);
+}
+
+// Guards against a sink that drops lines or decorates them.
+TEST_CASE("the standard error sink writes the bare line at once") {
+    std::ostringstream captured;
+    std::streambuf* const before = std::cerr.rdbuf(captured.rdbuf());
+
+    standard_error()(level::info, R"({"message":"started"})");
+
+    std::cerr.rdbuf(before);
+    CHECK(captured.str() == "{\"message\":\"started\"}\n");
+}
+
+}  // namespace
+}  // namespace bronzehub::logging
