--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -62,6 +62,10 @@
     base::duration grant_round_trip = std::chrono::milliseconds(2);
     // The bound of the virtual time clamp, in seconds of fleet capacity.
     base::duration debt = std::chrono::seconds(5);
+    // Calls at entry daemons of other failure domains wait this much longer
+    // before they come before calls of the own domain. It bounds how long a
+    // domain without backend servers of its own can be passed over.
+    base::duration domain_preference = std::chrono::seconds(2);
     bool grant_ahead = true;
     // False for the earlier designs that measurements compare with.
     bool merge_usage_reports = true;
