--- a/src/dispatch/entry_dispatch.hpp
+++ b/src/dispatch/entry_dispatch.hpp
@@ -39,7 +39,7 @@
     // parameter. 0 when there is only one.
     std::uint32_t kind = 0;
     // The caller's hint in cost units. Without one the learnt cost is used.
-    std::optional<double> cost_hint;
+    std::optional<double> cost_hint = std::nullopt;
     base::time_point deadline = base::time_point::max();
 };
 
