--- a/tests/standin/exchange.hpp
+++ b/tests/standin/exchange.hpp
@@ -14,6 +14,9 @@
 
 namespace bronzehub::standin {
 
+// Decodes percent-encoded text. An incomplete escape stays as it is.
+std::string unescape(std::string_view text);
+
 struct request {
     std::string method;
     std::string path;
@@ -64,6 +67,8 @@
     virtual void handle(const request& call, const response_ptr& out) = 0;
     // Whether the request executes work that belongs in the journal.
     virtual bool is_journaled(const request& call) const = 0;
+    // Begins or ends the fault `stale_hosts`; only the platform has hosts.
+    virtual void set_stale_hosts(bool) {}
 };
 
 }  // namespace bronzehub::standin
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -7,6 +7,7 @@
 #include "engine.hpp"
 #include "http.hpp"
 #include "plain.hpp"
+#include "platform_role.hpp"
 #include "standin.hpp"
 
 namespace bronzehub::standin {
@@ -55,6 +56,9 @@
         return std::make_unique<plain>(
             plain_options{name, milliseconds_of(given, "--work-ms")}, after);
     }
+    if (kind == "platform") {
+        return std::make_unique<platform_role>();
+    }
     throw std::invalid_argument("--role: found \"" + kind +
                                 "\", expected engine, plain or platform");
 }
--- a/tests/standin/standin.cpp
+++ b/tests/standin/standin.cpp
@@ -93,6 +93,7 @@
     next.after_events = body.value("after_events", 1U);
     next.path_prefix = body.value("path_prefix", "");
     fault_ = std::move(next);
+    role_->set_stale_hosts(fault_.mode == fault_mode::stale_hosts);
     out->send(200, "{}");
 }
 
