--- /dev/null
+++ b/src/daemon/node.cpp
@@ -0,0 +1,368 @@
+#include "daemon/node.hpp"
+
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "backend_client/client.hpp"
+#include "base/clock.hpp"
+#include "calls/call_manager.hpp"
+#include "configuration/json_form.hpp"
+#include "configuration/snapshot_holder.hpp"
+#include "daemon/callers_api.hpp"
+#include "daemon/decision_loop.hpp"
+#include "daemon/fleet.hpp"
+#include "daemon/operators_api.hpp"
+#include "http_server/server.hpp"
+
+namespace bronzehub::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds decision_tick{20};
+constexpr milliseconds progress_tick{100};
+constexpr milliseconds drain_check{50};
+constexpr std::size_t operator_threads = 1;
+constexpr std::uint64_t operator_body_bytes = 4UL * 1024 * 1024;
+
+struct endpoint {
+    std::string address;
+    std::uint16_t port = 0;
+};
+
+// The settings were checked, so the text is "IP:port".
+endpoint split_endpoint(const std::string& text) {
+    const std::size_t colon = text.rfind(':');
+    std::string address = text.substr(0, colon);
+    if (address.starts_with('[')) {
+        address = address.substr(1, address.size() - 2);
+    }
+    return {std::move(address),
+            static_cast<std::uint16_t>(std::stoul(text.substr(colon + 1)))};
+}
+
+// Rises with every start of the daemon on a host.
+std::uint64_t new_incarnation() {
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count());
+}
+
+}  // namespace
+
+class node::implementation {
+public:
+    implementation(const settings::daemon_settings& settings,
+                   logging::logger& log);
+    ~implementation();
+
+    absl::Status start();
+    void drain(std::function<void()> drained);
+    std::size_t active_calls();
+
+private:
+    absl::Status load_initial_configuration();
+    absl::Status start_listeners();
+    void accept_configuration(configuration::snapshot_pointer next);
+    void admit(std::uint64_t id, std::string request_id,
+               calls::routed_call call,
+               std::shared_ptr<http_server::response_writer> writer);
+    void check_drained();
+    calls::transfer_hooks transfer_hooks();
+    calls::schedule_hooks schedule_hooks();
+    calls::claim_hooks claim_hooks();
+    fleet_hooks make_fleet_hooks();
+    operators_hooks make_operators_hooks();
+    std::string address_of(base::backend_server_id id) const;
+    nlohmann::json status();
+    nlohmann::json dump();
+
+    settings::daemon_settings settings_;
+    logging::logger& log_;
+    std::uint64_t incarnation_ = new_incarnation();
+    base::clock clock_ = base::system_clock();
+    decision_loop loop_;
+    configuration::snapshot_holder configuration_;
+    std::unique_ptr<backend_client::client> client_;
+    // Below: only on the decision thread.
+    configuration::snapshot_pointer current_;
+    fleet fleet_;
+    calls::call_manager manager_;
+    std::function<void()> drained_;
+    // Thread-safe.
+    callers_api callers_;
+    operators_api operators_;
+    std::unique_ptr<http_server::server> callers_server_;
+    std::unique_ptr<http_server::server> operators_server_;
+    std::atomic<bool> draining_ = false;
+};
+
+node::implementation::implementation(const settings::daemon_settings& settings,
+                                     logging::logger& log)
+    : settings_(settings),
+      log_(log),
+      fleet_(settings, incarnation_, clock_, make_fleet_hooks()),
+      manager_({}, clock_, claim_hooks(), schedule_hooks(), transfer_hooks()),
+      callers_(
+          configuration_,
+          settings.host.name + "-" + std::to_string(incarnation_) + "-",
+          {.admit =
+               [this](std::uint64_t id, std::string request_id,
+                      calls::routed_call call, auto writer) {
+                   loop_.post([this, id, request_id = std::move(request_id),
+                               call = std::move(call),
+                               writer = std::move(writer)]() mutable {
+                       admit(id, std::move(request_id), std::move(call),
+                             std::move(writer));
+                   });
+               }}),
+      operators_(configuration_, make_operators_hooks()) {}
+
+node::implementation::~implementation() {
+    // Listeners first, so that nothing new arrives; then the decision thread,
+    // so that late events of transfers are dropped; the client last.
+    callers_server_.reset();
+    operators_server_.reset();
+    loop_.stop();
+    client_.reset();
+}
+
+absl::Status node::implementation::start() {
+    auto client = backend_client::client::start();
+    if (!client.ok()) {
+        return client.status();
+    }
+    client_ = *std::move(client);
+    loop_.every(decision_tick, [this] { fleet_.tick(); });
+    loop_.every(progress_tick, [this] { manager_.tick(); });
+    loop_.every(drain_check, [this] { check_drained(); });
+    loop_.start();
+    if (auto status = load_initial_configuration(); !status.ok()) {
+        return status;
+    }
+    return start_listeners();
+}
+
+absl::Status node::implementation::load_initial_configuration() {
+    if (!settings_.initial_configuration) {
+        return absl::OkStatus();
+    }
+    auto value =
+        configuration::read_configuration(*settings_.initial_configuration);
+    if (!value.ok()) {
+        return value.status();
+    }
+    accept_configuration(
+        std::make_shared<const configuration::configuration_snapshot>(
+            *std::move(value)));
+    return absl::OkStatus();
+}
+
+void node::implementation::accept_configuration(
+    configuration::snapshot_pointer next) {
+    loop_.run_and_wait([&] {
+        if (!configuration_.accept(next)) {
+            return;
+        }
+        current_ = next;
+        fleet_.on_configuration(next);
+        log_.info("configuration in force",
+                  {logging::field("version", next->version())});
+    });
+}
+
+absl::Status node::implementation::start_listeners() {
+    const endpoint callers = split_endpoint(settings_.listeners.callers);
+    http_server::options options;
+    options.address = callers.address;
+    options.port = callers.port;
+    options.threads = settings_.threads.workers;
+    options.max_body_bytes = settings_.limits.body_bytes;
+    auto server = http_server::server::start(
+        options, [this](http_server::request request, auto writer) {
+            callers_.handle(std::move(request), std::move(writer));
+        });
+    if (!server.ok()) {
+        return server.status();
+    }
+    callers_server_ = *std::move(server);
+
+    const endpoint operators = split_endpoint(settings_.listeners.operators);
+    options.address = operators.address;
+    options.port = operators.port;
+    options.threads = operator_threads;
+    options.max_body_bytes = operator_body_bytes;
+    server = http_server::server::start(
+        options,
+        [this](const http_server::request& request, const auto& writer) {
+            operators_.handle(request, writer);
+        });
+    if (!server.ok()) {
+        return server.status();
+    }
+    operators_server_ = *std::move(server);
+    return absl::OkStatus();
+}
+
+void node::implementation::admit(
+    std::uint64_t id, std::string request_id, calls::routed_call call,
+    std::shared_ptr<http_server::response_writer> writer) {
+    manager_.admit(id, std::move(request_id), std::move(call),
+                   std::move(writer));
+}
+
+fleet_hooks node::implementation::make_fleet_hooks() {
+    return {
+        .start =
+            [this](dispatch::call_id id, base::backend_server_id server) {
+                manager_.start(id, server);
+            },
+        .refuse = [this](
+                      dispatch::call_id id,
+                      const base::refusal& why) { manager_.refuse(id, why); },
+        .send_peer = [](const base::host_id&, const protocol::message&) {},
+        .post =
+            [this](std::function<void()> task) { loop_.post(std::move(task)); },
+    };
+}
+
+calls::schedule_hooks node::implementation::schedule_hooks() {
+    return {
+        .submit =
+            [this](const dispatch::waiting_call& call) {
+                return fleet_.entry().submit(call);
+            },
+        .cancel =
+            [this](dispatch::call_id id) { return fleet_.entry().cancel(id); },
+        .progress = [this](dispatch::call_id id,
+                           double cost) { fleet_.entry().progress(id, cost); },
+        .finished =
+            [this](dispatch::call_id id, const dispatch::finished_call& end) {
+                fleet_.entry().finished(id, end);
+            },
+        .returned =
+            [this](dispatch::call_id id) { fleet_.entry().returned(id); },
+        .take_retry =
+            [this](base::organisation_id organisation,
+                   base::service_id service) {
+                return fleet_.retries().try_retry(organisation, service);
+            },
+    };
+}
+
+calls::transfer_hooks node::implementation::transfer_hooks() {
+    return {
+        .send =
+            [this](backend_client::backend_request request,
+                   backend_client::backend_events events) {
+                return client_->send(std::move(request), std::move(events));
+            },
+        .cancel = [this](backend_client::handle id) { client_->cancel(id); },
+        .pause = [this](backend_client::handle id) { client_->pause(id); },
+        .resume = [this](backend_client::handle id) { client_->resume(id); },
+        .address_of =
+            [this](base::backend_server_id id) { return address_of(id); },
+        .post =
+            [this](std::function<void()> task) { loop_.post(std::move(task)); },
+    };
+}
+
+calls::claim_hooks node::implementation::claim_hooks() {
+    const base::refusal unavailable{
+        base::refusal_code::claim_unavailable, base::call_outcome::not_run,
+        "idempotency keys need the platform's table service, which this host "
+        "does not use yet",
+        std::nullopt};
+    return {
+        .acquire =
+            [unavailable](
+                dispatch::call_id, const calls::routed_call&,
+                const std::function<void(calls::claim_decision)>& done) {
+                done(unavailable);
+            },
+        .complete = [](dispatch::call_id, const calls::recorded_response&) {},
+        .mark_unknown = [](dispatch::call_id) {},
+        .abandon = [](dispatch::call_id) {},
+    };
+}
+
+std::string node::implementation::address_of(base::backend_server_id id) const {
+    const auto* server = current_ ? current_->find(id) : nullptr;
+    return server == nullptr ? std::string() : server->address;
+}
+
+operators_hooks node::implementation::make_operators_hooks() {
+    return {
+        .ready =
+            [this] {
+                return !draining_.load() && configuration_.version() > 0;
+            },
+        .metrics_text = [] { return std::string(); },
+        .status = [this] { return status(); },
+        .dump = [this] { return dump(); },
+        .drain = [this] { drain([] {}); },
+    };
+}
+
+nlohmann::json node::implementation::status() {
+    nlohmann::json result;
+    result["host"] = settings_.host.name;
+    result["failure_domain"] = settings_.host.failure_domain;
+    result["incarnation"] = incarnation_;
+    result["draining"] = draining_.load();
+    result["configuration_version"] = configuration_.version();
+    return result;
+}
+
+nlohmann::json node::implementation::dump() {
+    nlohmann::json result = status();
+    loop_.run_and_wait([&] {
+        result["calls"] = manager_.dump();
+        result["dispatch"] = fleet_.dump();
+    });
+    return result;
+}
+
+void node::implementation::drain(std::function<void()> drained) {
+    draining_.store(true);
+    callers_.set_draining();
+    loop_.post([this, drained = std::move(drained)] { drained_ = drained; });
+    log_.info("draining", {});
+}
+
+void node::implementation::check_drained() {
+    if (drained_ && manager_.active() == 0) {
+        std::exchange(drained_, nullptr)();
+    }
+}
+
+std::size_t node::implementation::active_calls() {
+    std::size_t count = 0;
+    loop_.run_and_wait([&] { count = manager_.active(); });
+    return count;
+}
+
+node::node(std::unique_ptr<implementation> self) : self_(std::move(self)) {}
+
+node::~node() = default;
+
+absl::StatusOr<std::unique_ptr<node>> node::start(
+    const settings::daemon_settings& settings, logging::logger& log) {
+    auto self = std::make_unique<implementation>(settings, log);
+    if (auto status = self->start(); !status.ok()) {
+        return status;
+    }
+    return std::unique_ptr<node>(new node(std::move(self)));
+}
+
+void node::drain(std::function<void()> drained) {
+    self_->drain(std::move(drained));
+}
+
+std::size_t node::active_calls() const {
+    return self_->active_calls();
+}
+
+}  // namespace bronzehub::daemon
