--- a/src/http_server/response_writer.hpp
+++ b/src/http_server/response_writer.hpp
@@ -46,22 +46,25 @@
     // Sends the last chunk.
     virtual void finish() = 0;
 
-    // Closes the connection at once. Queued bytes may be lost.
+    // Ends a response that cannot be completed: sends the bytes queued so far
+    // (within the write timeout), then closes the connection without the last
+    // chunk. `on_closed` is not called.
     virtual void abort() = 0;
 
     // Bytes of the response that the kernel has not accepted yet.
     virtual std::size_t pending_bytes() const = 0;
 
     // Calls `hook` once, on an I/O thread, as soon as `pending_bytes` is at or
-    // below the server's low-water mark or the connection is closed. When that
+    // below `options::low_water_bytes` or the connection is closed. When that
     // is already so, the hook is called soon. A second call replaces a hook
     // that still waits.
     virtual void on_drained(std::function<void()> hook) = 0;
 
     // Calls `hook` at most once, on an I/O thread, when the connection closes
-    // before the response has ended: the caller left, a write failed or the
-    // server stopped. Also called (soon) when that happened already. Not
-    // called after `abort`.
+    // before the kernel has taken the whole response: the caller left, a write
+    // failed or timed out, or the server stopped. Also called (soon) when that
+    // happened already. A caller that shuts down its sending side counts as
+    // gone, since that cannot be told from a closed connection.
     virtual void on_closed(std::function<void()> hook) = 0;
 };
 
