--- a/src/base/json_fields.hpp
+++ b/src/base/json_fields.hpp
@@ -12,7 +12,9 @@
 //           form.required("maximum", value.maximum, number_range{1, 100});
 //       }
 //   };
-// An enum takes part by a specialisation of `enum_names`.
+// An enum takes part by a specialisation of `enum_names`, a variant by one of
+// `variant_names`; a variant is an object with one member named after the
+// alternative.
 #ifndef BRONZEHUB_BASE_JSON_FIELDS_HPP
 #define BRONZEHUB_BASE_JSON_FIELDS_HPP
 
@@ -26,6 +28,7 @@
 #include <string>
 #include <string_view>
 #include <type_traits>
+#include <variant>
 #include <vector>
 
 #include "absl/status/status.h"
@@ -73,6 +76,11 @@
 template <class E>
 struct enum_names;
 
+// Names of a variant's alternatives in their order:
+// `static constexpr std::array<std::string_view, N> all`.
+template <class V>
+struct variant_names;
+
 template <class E>
 struct named {
     E value;
@@ -136,6 +144,11 @@
 template <class T>
 struct is_optional<std::optional<T>> : std::true_type {};
 
+template <class T>
+struct is_variant : std::false_type {};
+template <class... Ts>
+struct is_variant<std::variant<Ts...>> : std::true_type {};
+
 template <class T>
 struct is_strong_id : std::false_type {};
 template <class Tag>
@@ -230,13 +243,43 @@
     }
 }
 
+template <std::size_t Index = 0, class V>
+void read_alternative(const detail::place& at, std::size_t wanted, V& out) {
+    if constexpr (Index < std::variant_size_v<V>) {
+        if (wanted == Index) {
+            read_value(at, out.template emplace<Index>(), any_value{});
+        } else {
+            read_alternative<Index + 1>(at, wanted, out);
+        }
+    }
+}
+
+template <class V>
+void read_variant(const detail::place& at, V& out) {
+    const auto& names = variant_names<V>::all;
+    if (!at.value.is_object() || at.value.size() != 1) {
+        at.report("object with one member");
+        return;
+    }
+    const auto member = at.value.begin();
+    const auto name = std::find(names.begin(), names.end(), member.key());
+    const std::string path = member_path(at.path, member.key());
+    if (name == names.end()) {
+        at.faults.push_back({path, "unknown key", "a known alternative"});
+        return;
+    }
+    read_alternative(detail::place{*member, path, at.faults},
+                     static_cast<std::size_t>(name - names.begin()), out);
+}
+
 template <class T, class Rule>
 void read_integer_as(const detail::place& at, T& out, const Rule& rule) {
     number_range range{0, any_count.high};
     if constexpr (std::same_as<Rule, number_range>) {
         range = rule;
     } else if constexpr (detail::is_strong_id<T>::value) {
-        range = {1, 4294967295.0};
+        // The number after the highest one must exist.
+        range = {1, 4294967294.0};
     } else if constexpr (sizeof(T) == 4) {
         range.high = 4294967295.0;
     }
@@ -259,6 +302,8 @@
         read_array(at, out, rule);
     } else if constexpr (detail::is_optional<T>::value) {
         read_value(at, out.emplace(), rule);
+    } else if constexpr (detail::is_variant<T>::value) {
+        read_variant(at, out);
     } else if constexpr (std::is_enum_v<T>) {
         read_enum(at, out);
     } else if constexpr (std::same_as<T, bool>) {
@@ -321,10 +366,16 @@
         std::transform(value.begin(), value.end(), std::back_inserter(array),
                        [](const auto& item) { return write_value(item); });
         return array;
+    } else if constexpr (detail::is_variant<T>::value) {
+        nlohmann::json object = nlohmann::json::object();
+        const auto name = variant_names<T>::all[value.index()];
+        object[std::string(name)] = std::visit(
+            [](const auto& held) { return write_value(held); }, value);
+        return object;
     } else if constexpr (std::is_enum_v<T>) {
         return std::string(enum_name(value));
     } else if constexpr (std::same_as<T, std::chrono::milliseconds>) {
-        return value.count();
+        return static_cast<std::uint64_t>(value.count());
     } else if constexpr (detail::is_strong_id<T>::value) {
         return value.value();
     } else {
@@ -356,6 +407,14 @@
     return result;
 }
 
+// Checks a value that was built by code against the rules of its form.
+template <class T>
+void check_value(const T& value, const std::string& path, json_faults& faults) {
+    T copy;
+    const nlohmann::json written = write_value(value);
+    read_value(detail::place{written, path, faults}, copy, any_value{});
+}
+
 template <class T>
 std::string write_document(const T& value) {
     return dump_json(write_value(value));
--- a/src/configuration/model.hpp
+++ b/src/configuration/model.hpp
@@ -44,11 +44,11 @@
 
 struct organisation {
     base::organisation_id id;
-    std::string name;
+    std::string name{};
     double default_weight = 1;  // For services that `weights` does not name.
-    std::vector<service_weight> weights;
-    organisation_limits limits;
-    std::vector<api_key> keys;
+    std::vector<service_weight> weights{};
+    organisation_limits limits{};
+    std::vector<api_key> keys{};
 
     friend bool operator==(const organisation&, const organisation&) = default;
 };
@@ -75,11 +75,11 @@
 
 struct service {
     base::service_id id;
-    std::string name;
+    std::string name{};
     service_kind kind = service_kind::plain;
-    std::string path_prefix;  // Starts with "/" and does not end with it.
-    std::vector<call_rule> repeatable_calls;
-    unit_costs costs;
+    std::string path_prefix{};  // Starts with "/" and does not end with it.
+    std::vector<call_rule> repeatable_calls{};
+    unit_costs costs{};
     std::chrono::milliseconds default_deadline{60000};
     std::uint64_t maximum_request_bytes = 1 << 20;
     std::chrono::milliseconds target_first_token{720};
@@ -92,7 +92,7 @@
 
 struct backend_server {
     base::backend_server_id id;
-    std::string name;
+    std::string name{};
     base::service_id service;
     std::string address;  // IP:port; an IPv6 address is in brackets.
     base::failure_domain_id failure_domain;
@@ -109,9 +109,9 @@
 enum class operator_role { read, plan, confirm };
 
 struct operator_account {
-    std::string name;
+    std::string name{};
     std::string key_sha256;  // Lower-case hexadecimal.
-    std::vector<operator_role> roles;
+    std::vector<operator_role> roles{};
 
     friend bool operator==(const operator_account&,
                            const operator_account&) = default;
