--- a/src/configuration/configuration_test.cpp
+++ b/src/configuration/configuration_test.cpp
@@ -130,6 +130,7 @@
         }
     };
     std::vector<std::jthread> readers;
+    readers.reserve(3);
     for (int i = 0; i < 3; ++i) {
         readers.emplace_back(read);
     }
