Add the platform's HTTP client

A write opens a fresh connection, because libcurl silently repeats a request on a reused connection that turns out to be closed; a repeated conditional write would conflict with itself and be reported as not applied.

--- /dev/null
+++ b/src/platform_http/transfers.cpp
@@ -0,0 +1,258 @@
+#include "platform_http/transfers.hpp"
+
+#include <curl/curl.h>
+
+#include <deque>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+
+namespace bronzehub::platform {
+namespace {
+
+using easy_ptr = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
+using list_ptr = std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
+
+// Upper bound on how late a queued call notices that its time is over.
+constexpr int poll_milliseconds = 100;
+
+http_reply failed(transfer_result result, std::string error) {
+    return {result, 0, {}, std::move(error)};
+}
+
+// libcurl's own initialisation is not thread-safe, that of a static is.
+void initialise_curl() {
+    static const CURLcode result = curl_global_init(CURL_GLOBAL_DEFAULT);
+    (void)result;
+}
+
+}  // namespace
+
+// Owns the transfer thread and everything that only this thread touches.
+class transfers::worker {
+public:
+    worker(transfer_options options, base::clock time)
+        : options_(std::move(options)), time_(std::move(time)) {
+        initialise_curl();
+        multi_ = curl_multi_init();
+        curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS,
+                          static_cast<long>(options_.max_in_flight));
+        thread_ = std::thread([this] { run(); });
+    }
+
+    ~worker() {
+        {
+            const std::scoped_lock lock(mutex_);
+            stopping_ = true;
+        }
+        curl_multi_wakeup(multi_);
+        thread_.join();
+        curl_multi_cleanup(multi_);
+    }
+
+    worker(const worker&) = delete;
+    worker& operator=(const worker&) = delete;
+
+    void submit(http_call call, finish_hook finish) {
+        std::unique_lock lock(mutex_);
+        if (outstanding_ >= options_.max_in_flight + options_.max_queued) {
+            lock.unlock();
+            finish(failed(transfer_result::rejected,
+                          "too many operations are waiting"));
+            return;
+        }
+        ++outstanding_;
+        submitted_.push_back({std::move(call), std::move(finish),
+                              time_.now() + options_.timeout});
+        lock.unlock();
+        curl_multi_wakeup(multi_);
+    }
+
+private:
+    struct queued_call {
+        http_call call;
+        finish_hook finish;
+        base::time_point due;
+    };
+
+    struct transfer {
+        easy_ptr handle{nullptr, &curl_easy_cleanup};
+        list_ptr headers{nullptr, &curl_slist_free_all};
+        queued_call queued;
+        http_reply reply;
+        std::size_t max_bytes = 0;
+    };
+
+    void run() {
+        while (take_submitted()) {
+            start_queued();
+            int running = 0;
+            curl_multi_perform(multi_, &running);
+            collect();
+            if (!can_start()) {
+                curl_multi_poll(multi_, nullptr, 0, poll_milliseconds, nullptr);
+            }
+        }
+        abandon();
+    }
+
+    // Moves submitted calls to the queue; false when the thread must end.
+    bool take_submitted() {
+        const std::scoped_lock lock(mutex_);
+        std::ranges::move(submitted_, std::back_inserter(queue_));
+        submitted_.clear();
+        return !stopping_;
+    }
+
+    bool can_start() const {
+        return !queue_.empty() && active_.size() < options_.max_in_flight;
+    }
+
+    void start_queued() {
+        const base::time_point now = time_.now();
+        while (!queue_.empty() && (can_start() || queue_.front().due <= now)) {
+            queued_call next = std::move(queue_.front());
+            queue_.pop_front();
+            if (next.due <= now) {
+                finish(next, failed(transfer_result::not_sent,
+                                    "timed out before it was sent"));
+            } else {
+                start(std::move(next), now);
+            }
+        }
+    }
+
+    void start(queued_call next, base::time_point now) {
+        auto current = std::make_unique<transfer>();
+        current->handle.reset(curl_easy_init());
+        current->max_bytes = options_.max_response_bytes;
+        current->queued = std::move(next);
+        configure(*current, std::chrono::ceil<std::chrono::milliseconds>(
+                                current->queued.due - now));
+        CURL* handle = current->handle.get();
+        active_.emplace(handle, std::move(current));
+        curl_multi_add_handle(multi_, handle);
+    }
+
+    void configure(transfer& current, std::chrono::milliseconds timeout) const {
+        const http_call& call = current.queued.call;
+        CURL* handle = current.handle.get();
+        const std::string url = options_.base_url + call.target;
+        curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
+        curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http,https");
+        curl_easy_setopt(handle, CURLOPT_PROXY, "");
+        curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+        curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
+                         static_cast<long>(options_.connect_timeout.count()));
+        curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
+                         static_cast<long>(timeout.count()));
+        curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &worker::receive);
+        curl_easy_setopt(handle, CURLOPT_WRITEDATA, &current);
+        // Without the empty Expect header, libcurl waits for 100-continue
+        // before it sends a larger body.
+        curl_slist* headers = curl_slist_append(nullptr, "Expect:");
+        for (const std::string& line : call.headers) {
+            headers = curl_slist_append(headers, line.c_str());
+        }
+        current.headers.reset(headers);
+        curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
+        if (call.is_write) {
+            curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+            curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                             static_cast<curl_off_t>(call.body.size()));
+            curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call.body.c_str());
+        }
+    }
+
+    static std::size_t receive(char* data, std::size_t unit, std::size_t count,
+                               void* user) {
+        auto& current = *static_cast<transfer*>(user);
+        const std::size_t size = unit * count;
+        if (current.reply.body.size() + size > current.max_bytes) {
+            return CURL_WRITEFUNC_ERROR;
+        }
+        current.reply.body.append(data, size);
+        return size;
+    }
+
+    void collect() {
+        int left = 0;
+        while (CURLMsg* done = curl_multi_info_read(multi_, &left)) {
+            if (done->msg != CURLMSG_DONE) {
+                continue;
+            }
+            // The message is invalid once the handle is removed.
+            CURL* handle = done->easy_handle;
+            const CURLcode code = done->data.result;
+            const auto found = active_.find(handle);
+            const std::unique_ptr<transfer> current = std::move(found->second);
+            active_.erase(found);
+            curl_multi_remove_handle(multi_, handle);
+            finish(current->queued, reply_of(*current, code));
+        }
+    }
+
+    static http_reply reply_of(transfer& current, CURLcode code) {
+        CURL* handle = current.handle.get();
+        if (code == CURLE_OK) {
+            http_reply reply = std::move(current.reply);
+            reply.result = transfer_result::completed;
+            curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &reply.status);
+            return reply;
+        }
+        // Counts the bytes handed to the socket, so it is zero exactly when
+        // the platform cannot have seen the request.
+        long sent_bytes = 0;
+        curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &sent_bytes);
+        return failed(sent_bytes == 0 ? transfer_result::not_sent
+                                      : transfer_result::broken,
+                      curl_easy_strerror(code));
+    }
+
+    // Ends every call that is still open when the thread stops.
+    void abandon() {
+        for (auto& [handle, current] : active_) {
+            curl_multi_remove_handle(multi_, handle);
+            finish(current->queued,
+                   failed(transfer_result::broken, "the client was stopped"));
+        }
+        active_.clear();
+        for (queued_call& each : queue_) {
+            finish(each,
+                   failed(transfer_result::not_sent, "the client was stopped"));
+        }
+    }
+
+    void finish(queued_call& done, http_reply reply) {
+        {
+            const std::scoped_lock lock(mutex_);
+            --outstanding_;
+        }
+        done.finish(std::move(reply));
+    }
+
+    const transfer_options options_;
+    const base::clock time_;
+    CURLM* multi_ = nullptr;
+    std::unordered_map<CURL*, std::unique_ptr<transfer>> active_;
+    std::deque<queued_call> queue_;
+    std::thread thread_;
+
+    std::mutex mutex_;
+    std::deque<queued_call> submitted_;  // Guarded by mutex_.
+    std::size_t outstanding_ = 0;        // Guarded by mutex_.
+    bool stopping_ = false;              // Guarded by mutex_.
+};
+
+transfers::transfers(transfer_options options, base::clock time)
+    : worker_(std::make_unique<worker>(std::move(options), std::move(time))) {}
+
+transfers::~transfers() = default;
+
+void transfers::submit(http_call call, finish_hook finish) {
+    worker_->submit(std::move(call), std::move(finish));
+}
+
+}  // namespace bronzehub::platform
