--- a/src/claims/claim_registry.cpp
+++ b/src/claims/claim_registry.cpp
@@ -27,16 +27,14 @@
 }
 
 void claim_registry::decide(claim_id id, claim_decision decision) {
-    const decision_callback callback =
-        std::exchange(find(id)->decide, nullptr);
+    const decision_callback callback = std::exchange(find(id)->decide, nullptr);
     if (callback) {
         callback(std::move(decision));
     }
 }
 
 void claim_registry::decide_and_erase(claim_id id, claim_decision decision) {
-    const decision_callback callback =
-        std::exchange(find(id)->decide, nullptr);
+    const decision_callback callback = std::exchange(find(id)->decide, nullptr);
     erase(id);
     if (callback) {
         callback(std::move(decision));
@@ -242,8 +240,7 @@
         decide_and_erase(id, {claim_verdict::unavailable});
         return;
     }
-    const decision_callback callback =
-        std::exchange(find(id)->decide, nullptr);
+    const decision_callback callback = std::exchange(find(id)->decide, nullptr);
     find(id)->step = phase::settling;
     find(id)->wanted = goal::remove;
     retry_later(id);
@@ -422,11 +419,11 @@
 
 claim_row claim_registry::final_row(const entry& item) const {
     claim_row row = item.row;
-    row.state = item.wanted == goal::record ? claim_state::done
-                                            : claim_state::unknown;
+    row.state =
+        item.wanted == goal::record ? claim_state::done : claim_state::unknown;
     if (item.wanted == goal::record) {
-        stored_response stored{item.response.status,
-                               item.response.content_type, "", ""};
+        stored_response stored{item.response.status, item.response.content_type,
+                               "", ""};
         if (item.object_stored) {
             stored.object = "claim/" + row.attempt;
         } else {
@@ -455,8 +452,8 @@
         erase(id);
         return;
     }
-    const bool lost = !result.ok() &&
-                      platform::may_have_been_applied(result.status());
+    const bool lost =
+        !result.ok() && platform::may_have_been_applied(result.status());
     counters_.lost_answers += lost ? 1 : 0;
     if (lost || result.ok()) {
         find(id)->version.reset();
