--- a/src/claims/claims_test.cpp
+++ b/src/claims/claims_test.cpp
@@ -293,7 +293,7 @@
     const base::host_id& host = hosts[detail % 3];
     const std::string key = detail / 3 % 2 == 0 ? "k" : "l";
     const auto how = static_cast<delivery>(detail / 6 % 5);
-    switch (action % 8) {
+    switch (action) {
         case 0:
         case 1:
             fleet.claim(host, key);
@@ -307,8 +307,12 @@
         case 4:  // A live host is taken for dead.
             fleet.dead[{host, fleet.at(host).incarnation}] = true;
             break;
-        case 5:
+        case 5:  // At any step, also after the call was sent.
+            fleet.at(host).registry->abandon(fleet.at(host).last[key]);
+            break;
+        case 6:
             fleet.abandon_calls = detail % 5 == 0;
+            fleet.finish_calls = detail % 3 != 0;
             fleet.run_held();
             break;
         default:
@@ -328,7 +332,7 @@
         fleet.start("c");
         const auto history =
             *rc::gen::container<std::vector<std::pair<unsigned, unsigned>>>(
-                rc::gen::pair(rc::gen::inRange(0u, 8u),
+                rc::gen::pair(rc::gen::inRange(0u, 10u),
                               rc::gen::inRange(0u, 90u)));
         for (const auto& [action, detail] : history) {
             random_step(fleet, action, detail);
