Add the control plane: configuration from the platform, plans and claims

The daemon writes its initial configuration as version 1 through a conditional write, follows versions from the platform, serves plans to operators and claims idempotency keys in the platform's table.

Found by running it: a fleet that began with an initial configuration never came up. Cause: the store preferred change rows for short gaps, and version 1 has none.

--- a/src/calls/call_manager.cpp
+++ b/src/calls/call_manager.cpp
@@ -218,6 +218,9 @@
     options.already_started = target.started;
     options.delivered_events = target.delivered_events;
     options.event_stream = target.request.streamed;
+    if (target.claimed) {
+        options.collect_bytes = options_.recorded_response_bytes;
+    }
     // The handle is known only after `send`, and events may come before that.
     const auto transfer =
         std::make_shared<std::atomic<backend_client::handle>>();
@@ -293,7 +296,10 @@
         return;
     }
     release_slot(target, result, !failed);
-    if (target.claimed) {
+    if (target.claimed && result.started) {
+        // The response was passed through and is not there to be recorded.
+        claims_.mark_unknown(target.id);
+    } else if (target.claimed) {
         claims_.complete(target.id,
                          {result.status, result.headers, result.body});
     }
--- a/src/calls/call_manager.hpp
+++ b/src/calls/call_manager.hpp
@@ -118,6 +118,10 @@
     // long generation sends nothing before its end.
     std::chrono::milliseconds stream_idle_timeout{60000};
     relay_options relay;
+    // Larger responses to calls with an idempotency key are passed through and
+    // not recorded: a later call with the key hears that the outcome is
+    // unknown.
+    std::size_t recorded_response_bytes = 1024UL * 1024;
     std::uint32_t max_attempts = 4;
 };
 
--- a/src/calls/call_responses.cpp
+++ b/src/calls/call_responses.cpp
@@ -20,19 +20,28 @@
     return base::dump_json(body);
 }
 
-void respond_refusal(http_server::response_writer& writer,
-                     const base::refusal& why, std::string_view request_id) {
+base::http_headers refusal_headers(const base::refusal& why,
+                                   std::string_view request_id) {
     base::http_headers headers{
         {"Content-Type", "application/json"},
-        {std::string(request_id_header), std::string(request_id)},
         {std::string(outcome_header),
          std::string(base::to_string(why.outcome))},
     };
+    if (!request_id.empty()) {
+        headers.push_back(
+            {std::string(request_id_header), std::string(request_id)});
+    }
     if (why.retry_after) {
         headers.push_back(
             {"Retry-After", std::to_string(why.retry_after->count())});
     }
-    writer.respond(base::http_status(why.code), headers,
+    return headers;
+}
+
+void respond_refusal(http_server::response_writer& writer,
+                     const base::refusal& why, std::string_view request_id) {
+    writer.respond(base::http_status(why.code),
+                   refusal_headers(why, request_id),
                    refusal_body(why, request_id));
 }
 
--- a/src/calls/call_responses.hpp
+++ b/src/calls/call_responses.hpp
@@ -14,6 +14,11 @@
 // The JSON body of a refusal.
 std::string refusal_body(const base::refusal& why, std::string_view request_id);
 
+// Content type, request id, outcome and, where waiting helps, Retry-After. An
+// empty request id is left out.
+base::http_headers refusal_headers(const base::refusal& why,
+                                   std::string_view request_id);
+
 // Answers with the refusal's status, outcome header, body and Retry-After.
 void respond_refusal(http_server::response_writer& writer,
                      const base::refusal& why, std::string_view request_id);
--- a/src/daemon/claim_link.cpp
+++ b/src/daemon/claim_link.cpp
@@ -26,10 +26,9 @@
                        "present",
                        retry_soon};
     }
-    return calls::recorded_response{
-        static_cast<int>(response->status),
-        {{"Content-Type", response->content_type}},
-        response->body};
+    return calls::recorded_response{static_cast<int>(response->status),
+                                    {{"Content-Type", response->content_type}},
+                                    response->body};
 }
 
 }  // namespace
@@ -114,9 +113,9 @@
     request.body_digest = digest_of(call);
     // The decision may come before `claim` returns its id, so it is handled
     // later.
-    const claims::claim_id claim = registry_.claim(
-        request, [this, id, done = std::move(done)](
-                     const claims::claim_decision& decision) {
+    const claims::claim_id claim =
+        registry_.claim(request, [this, id, done = std::move(done)](
+                                     const claims::claim_decision& decision) {
             post_([this, id, done, decision] {
                 if (decision.verdict != claim_verdict::held) {
                     claims_.erase(id);
--- a/src/daemon/fleet.cpp
+++ b/src/daemon/fleet.cpp
@@ -162,6 +162,14 @@
     std::visit(message_visitor{*this, received.from}, received.content);
 }
 
+void fleet::broadcast(const protocol::body&) {}
+
+bool fleet::is_dead(const base::host_id& host,
+                    std::uint64_t incarnation) const {
+    // A daemon that runs is the highest incarnation of its host.
+    return host == settings_.host.name && incarnation < incarnation_;
+}
+
 void fleet::tick() {
     entry_.tick();
     dispatcher_.tick();
--- a/src/daemon/fleet.hpp
+++ b/src/daemon/fleet.hpp
@@ -41,6 +41,15 @@
     // Delivers a message from a peer or from this daemon itself.
     void on_message(const protocol::message& received);
 
+    // Sends a message to a host, which may be this one.
+    void send(const base::host_id& host, protocol::body content);
+
+    // Sends a message to every other live host.
+    void broadcast(const protocol::body& content);
+
+    // Whether the incarnation of the host is known to have ended.
+    bool is_dead(const base::host_id& host, std::uint64_t incarnation) const;
+
     void tick();
 
     dispatch::entry_dispatch& entry() { return entry_; }
@@ -51,7 +60,6 @@
 private:
     struct message_visitor;
 
-    void send(const base::host_id& host, protocol::body content);
     void apply();
 
     settings::daemon_settings settings_;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -1,15 +1,22 @@
 #include "daemon/node.hpp"
 
+#include <algorithm>
+#include <array>
 #include <chrono>
+#include <functional>
 #include <string>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "backend_client/client.hpp"
 #include "base/clock.hpp"
 #include "calls/call_manager.hpp"
+#include "calls/call_responses.hpp"
 #include "configuration/json_form.hpp"
 #include "configuration/snapshot_holder.hpp"
 #include "daemon/callers_api.hpp"
+#include "daemon/claim_link.hpp"
+#include "daemon/control_plane.hpp"
 #include "daemon/decision_loop.hpp"
 #include "daemon/fleet.hpp"
 #include "daemon/operators_api.hpp"
@@ -20,10 +27,13 @@
 
 using std::chrono::milliseconds;
 
+// Claims that arrive within 5 ms share a transaction.
+constexpr milliseconds control_tick{5};
 constexpr milliseconds decision_tick{20};
 constexpr milliseconds progress_tick{100};
 constexpr milliseconds drain_check{50};
 constexpr std::size_t operator_threads = 1;
+constexpr std::uint64_t first_configuration_version = 1;
 constexpr std::uint64_t operator_body_bytes = 4UL * 1024 * 1024;
 
 struct endpoint {
@@ -42,6 +52,28 @@
             static_cast<std::uint16_t>(std::stoul(text.substr(colon + 1)))};
 }
 
+calls::manager_options manager_options_of(
+    const settings::daemon_settings& from) {
+    calls::manager_options options;
+    options.stream_idle_timeout = from.limits.idle_timeout;
+    return options;
+}
+
+http_server::options server_options_of(const settings::daemon_settings& from,
+                                       const std::string& listener) {
+    const endpoint where = split_endpoint(listener);
+    http_server::options options;
+    options.address = where.address;
+    options.port = where.port;
+    options.threads = from.threads.workers;
+    options.max_body_bytes = from.limits.body_bytes;
+    options.max_header_bytes = from.limits.header_bytes;
+    options.read_timeout = from.limits.read_timeout;
+    options.write_timeout = from.limits.write_timeout;
+    options.max_connections = from.limits.caller_connections;
+    return options;
+}
+
 // Rises with every start of the daemon on a host.
 std::uint64_t new_incarnation() {
     return static_cast<std::uint64_t>(
@@ -50,6 +82,26 @@
             .count());
 }
 
+// The server refuses these requests before they are calls.
+http_server::rejection make_rejection(int status) {
+    struct row {
+        int status;
+        base::refusal_code code;
+    };
+    constexpr std::array table{
+        row{408, base::refusal_code::request_timeout},
+        row{413, base::refusal_code::request_too_large},
+        row{503, base::refusal_code::backlog_full},
+    };
+    const auto found = std::ranges::find(table, status, &row::status);
+    const base::refusal why{
+        found == table.end() ? base::refusal_code::bad_request : found->code,
+        base::call_outcome::not_run,
+        "the request could not be read, status " + std::to_string(status),
+        std::nullopt};
+    return {calls::refusal_headers(why, ""), calls::refusal_body(why, "")};
+}
+
 }  // namespace
 
 class node::implementation {
@@ -63,19 +115,31 @@
     std::size_t active_calls();
 
 private:
-    absl::Status load_initial_configuration();
     absl::Status start_listeners();
-    void accept_configuration(configuration::snapshot_pointer next);
+    void accept_configuration(const configuration::snapshot_pointer& next);
     void admit(std::uint64_t id, std::string request_id,
                calls::routed_call call,
                std::shared_ptr<http_server::response_writer> writer);
     void check_drained();
     calls::transfer_hooks transfer_hooks();
     calls::schedule_hooks schedule_hooks();
-    calls::claim_hooks claim_hooks();
     fleet_hooks make_fleet_hooks();
+    control_hooks make_control_hooks();
     operators_hooks make_operators_hooks();
+    // A function that runs `operation` of the planner on the decision thread.
+    template <class Operation>
+    auto plan_operation(Operation operation) {
+        return [this, operation](operators_hooks::operator_account account,
+                                 std::string plan_id, auto done) {
+            loop_.post([this, operation, account = std::move(account),
+                        plan_id = std::move(plan_id), done = std::move(done)] {
+                std::invoke(operation, control_.planner(), account, plan_id,
+                            done);
+            });
+        };
+    }
     std::string address_of(base::backend_server_id id) const;
+    std::string not_ready_cause();
     nlohmann::json status();
     nlohmann::json dump();
 
@@ -89,6 +153,8 @@
     // Below: only on the decision thread.
     configuration::snapshot_pointer current_;
     fleet fleet_;
+    control_plane control_;
+    claim_link claim_link_;
     calls::call_manager manager_;
     std::function<void()> drained_;
     // Thread-safe.
@@ -104,7 +170,12 @@
     : settings_(settings),
       log_(log),
       fleet_(settings, incarnation_, clock_, make_fleet_hooks()),
-      manager_({}, clock_, claim_hooks(), schedule_hooks(), transfer_hooks()),
+      control_(settings, incarnation_, clock_, make_control_hooks()),
+      claim_link_(
+          control_.claims(),
+          [this](std::function<void()> task) { loop_.post(std::move(task)); }),
+      manager_(manager_options_of(settings), clock_, claim_link_.hooks(),
+               schedule_hooks(), transfer_hooks()),
       callers_(
           configuration_,
           settings.host.name + "-" + std::to_string(incarnation_) + "-",
@@ -129,7 +200,31 @@
     client_.reset();
 }
 
+// The settings library knows nothing of the fleet configuration, so a bad one
+// is found here, before anything is written.
+absl::Status check_initial_configuration(
+    const settings::daemon_settings& settings) {
+    if (!settings.initial_configuration) {
+        return absl::OkStatus();
+    }
+    const auto value =
+        configuration::read_configuration(*settings.initial_configuration);
+    if (!value.ok()) {
+        return absl::InvalidArgumentError(
+            absl::StrCat("initial_configuration: ", value.status().message()));
+    }
+    if (value->version != first_configuration_version) {
+        return absl::InvalidArgumentError(absl::StrCat(
+            "initial_configuration.version: found ", value->version,
+            ", expected ", first_configuration_version));
+    }
+    return absl::OkStatus();
+}
+
 absl::Status node::implementation::start() {
+    if (auto status = check_initial_configuration(settings_); !status.ok()) {
+        return status;
+    }
     auto client = backend_client::client::start();
     if (!client.ok()) {
         return client.status();
@@ -138,48 +233,27 @@
     loop_.every(decision_tick, [this] { fleet_.tick(); });
     loop_.every(progress_tick, [this] { manager_.tick(); });
     loop_.every(drain_check, [this] { check_drained(); });
+    loop_.every(control_tick, [this] { control_.tick(); });
+    loop_.post([this] { control_.bootstrap(); });
     loop_.start();
-    if (auto status = load_initial_configuration(); !status.ok()) {
-        return status;
-    }
     return start_listeners();
 }
 
-absl::Status node::implementation::load_initial_configuration() {
-    if (!settings_.initial_configuration) {
-        return absl::OkStatus();
-    }
-    auto value =
-        configuration::read_configuration(*settings_.initial_configuration);
-    if (!value.ok()) {
-        return value.status();
-    }
-    accept_configuration(
-        std::make_shared<const configuration::configuration_snapshot>(
-            *std::move(value)));
-    return absl::OkStatus();
-}
-
 void node::implementation::accept_configuration(
-    configuration::snapshot_pointer next) {
-    loop_.run_and_wait([&] {
-        if (!configuration_.accept(next)) {
-            return;
-        }
-        current_ = next;
-        fleet_.on_configuration(next);
-        log_.info("configuration in force",
-                  {logging::field("version", next->version())});
-    });
+    const configuration::snapshot_pointer& next) {
+    if (!configuration_.accept(next)) {
+        return;
+    }
+    current_ = next;
+    fleet_.on_configuration(next);
+    log_.info("configuration in force",
+              {logging::field("version", next->version())});
 }
 
 absl::Status node::implementation::start_listeners() {
-    const endpoint callers = split_endpoint(settings_.listeners.callers);
-    http_server::options options;
-    options.address = callers.address;
-    options.port = callers.port;
-    options.threads = settings_.threads.workers;
-    options.max_body_bytes = settings_.limits.body_bytes;
+    http_server::options options =
+        server_options_of(settings_, settings_.listeners.callers);
+    options.make_rejection = make_rejection;
     auto server = http_server::server::start(
         options, [this](http_server::request request, auto writer) {
             callers_.handle(std::move(request), std::move(writer));
@@ -189,9 +263,7 @@
     }
     callers_server_ = *std::move(server);
 
-    const endpoint operators = split_endpoint(settings_.listeners.operators);
-    options.address = operators.address;
-    options.port = operators.port;
+    options = server_options_of(settings_, settings_.listeners.operators);
     options.threads = operator_threads;
     options.max_body_bytes = operator_body_bytes;
     server = http_server::server::start(
@@ -269,22 +341,26 @@
     };
 }
 
-calls::claim_hooks node::implementation::claim_hooks() {
-    const base::refusal unavailable{
-        base::refusal_code::claim_unavailable, base::call_outcome::not_run,
-        "idempotency keys need the platform's table service, which this host "
-        "does not use yet",
-        std::nullopt};
+control_hooks node::implementation::make_control_hooks() {
     return {
-        .acquire =
-            [unavailable](
-                dispatch::call_id, const calls::routed_call&,
-                const std::function<void(calls::claim_decision)>& done) {
-                done(unavailable);
+        .send =
+            [this](const base::host_id& host, protocol::body content) {
+                fleet_.send(host, std::move(content));
+            },
+        .broadcast =
+            [this](const protocol::body& content) {
+                fleet_.broadcast(content);
+            },
+        .adopted =
+            [this](const configuration::snapshot_pointer& next) {
+                accept_configuration(next);
+            },
+        .post =
+            [this](std::function<void()> task) { loop_.post(std::move(task)); },
+        .is_dead =
+            [this](const base::host_id& host, std::uint64_t incarnation) {
+                return fleet_.is_dead(host, incarnation);
             },
-        .complete = [](dispatch::call_id, const calls::recorded_response&) {},
-        .mark_unknown = [](dispatch::call_id) {},
-        .abandon = [](dispatch::call_id) {},
     };
 }
 
@@ -295,17 +371,38 @@
 
 operators_hooks node::implementation::make_operators_hooks() {
     return {
-        .ready =
-            [this] {
-                return !draining_.load() && configuration_.version() > 0;
-            },
+        .not_ready_cause = [this] { return not_ready_cause(); },
         .metrics_text = [] { return std::string(); },
         .status = [this] { return status(); },
         .dump = [this] { return dump(); },
         .drain = [this] { drain([] {}); },
+        .propose =
+            [this](operators_hooks::operator_account account,
+                   std::string intent, planning::planner::plan_callback done) {
+                loop_.post([this, account = std::move(account),
+                            intent = std::move(intent),
+                            done = std::move(done)] {
+                    control_.planner().propose(account, intent, done);
+                });
+            },
+        .get_plan = plan_operation(&planning::planner::get),
+        .confirm = plan_operation(&planning::planner::confirm),
+        .drop = plan_operation(&planning::planner::drop),
     };
 }
 
+std::string node::implementation::not_ready_cause() {
+    if (draining_.load()) {
+        return "draining";
+    }
+    if (configuration_.version() > 0) {
+        return "";
+    }
+    std::string cause;
+    loop_.run_and_wait([&] { cause = control_.sync().explain(); });
+    return "no configuration; " + cause;
+}
+
 nlohmann::json node::implementation::status() {
     nlohmann::json result;
     result["host"] = settings_.host.name;
@@ -321,6 +418,7 @@
     loop_.run_and_wait([&] {
         result["calls"] = manager_.dump();
         result["dispatch"] = fleet_.dump();
+        result["control"] = control_.dump();
     });
     return result;
 }
--- a/src/planning/configuration_store.cpp
+++ b/src/planning/configuration_store.cpp
@@ -72,8 +72,7 @@
                 done(head.status());
             } else if (head->version <= have_version) {
                 done(update_of(have_version, head->version, {}));
-            } else if (head->version - have_version > changes_per_read &&
-                       head->snapshot_version > have_version) {
+            } else if (prefers_snapshot(have_version, *head)) {
                 fetch_snapshot(have_version, *head, done);
             } else {
                 fetch_changes(have_version, *head, done);
@@ -81,6 +80,15 @@
         });
 }
 
+// A daemon without a configuration starts from the snapshot: version 1 of a
+// fleet that began with an initial configuration has no change row.
+bool configuration_store::prefers_snapshot(std::uint64_t have_version,
+                                           const configuration_head& head) {
+    return head.snapshot_version > have_version &&
+           (have_version == 0 ||
+            head.version - have_version > changes_per_read);
+}
+
 void configuration_store::fetch_changes(std::uint64_t have_version,
                                         configuration_head head,
                                         const update_callback& done) const {
--- a/src/planning/configuration_store.hpp
+++ b/src/planning/configuration_store.hpp
@@ -45,6 +45,8 @@
     void fetch(std::uint64_t have_version, update_callback done) const;
 
 private:
+    static bool prefers_snapshot(std::uint64_t have_version,
+                                 const configuration_head& head);
     void fetch_changes(std::uint64_t have_version, configuration_head head,
                        const update_callback& done) const;
     void fetch_snapshot(std::uint64_t have_version, configuration_head head,
