Count running calls in the cost estimate

Cause: an organisation's first completions are its shortest calls. Ruled out: the lift on return from idle (positions were equal at the start) and unreported charges (reported within one exchange). Change: the estimator counts per bucket how many calls reached it and how many ended in it, so that calls which still run count.

Also stops the partition workload from reporting the gap after healing as the gap before it.

--- a/bench/fairness/fleet.cpp
+++ b/bench/fairness/fleet.cpp
@@ -128,7 +128,9 @@
     schedule_partition();
     events_.run_until(origin_ + to_duration(load_.length));
 
-    result_.gap = std::max(result_.gap, meter_.largest_gap());
+    if (!load_.partition_from) {
+        result_.gap = meter_.largest_gap();
+    }
     result_.gap_settled = meter_.largest_gap();
     const double slots = static_cast<double>(size_.replicas) * size_.slots;
     const double longest = load_.rebuild_share > 0 ? load_.rebuild_factor : 1.0;
--- a/src/accounting/cost_estimator.cpp
+++ b/src/accounting/cost_estimator.cpp
@@ -6,9 +6,10 @@
 namespace bronzehub::accounting {
 namespace {
 
-// Samples that count. Long calls are one in twenty in the mixed workloads, so
-// a shorter window would hold too few of them for a steady mean.
-constexpr double window = 512;
+// Samples of a bucket that count. Long calls are one in twenty in the mixed
+// workloads; each bucket keeps its own window, so short calls do not displace
+// what is known of long ones.
+constexpr float window = 256;
 
 // The service's history counts as this many samples of a new organisation.
 constexpr double prior_samples = 4;
@@ -19,6 +20,11 @@
 // to consume further.
 constexpr double unseen_tail = 0.25;
 
+// Fewer samples than this are rounding error of the decay.
+constexpr double least_samples = 1e-3;
+
+constexpr double lowest_exponent = -4;
+
 }  // namespace
 
 std::size_t cost_distribution::bucket_of(double cost) {
@@ -31,62 +37,129 @@
 }
 
 double cost_distribution::lower_bound(std::size_t bucket) {
-    return std::exp2(static_cast<double>(bucket) / 2 + lowest_exponent);
+    static const auto bounds = [] {
+        std::array<double, bucket_count + 1> result{};
+        for (std::size_t i = 0; i < result.size(); ++i) {
+            result[i] = std::exp2(static_cast<double>(i) / 2 + lowest_exponent);
+        }
+        return result;
+    }();
+    return bounds[bucket];
 }
 
-void cost_distribution::record(double cost) {
-    if (weight_ >= window) {
-        constexpr auto keep = static_cast<float>(1 - 1 / window);
-        std::ranges::for_each(weights_, [](float& w) { w *= keep; });
-        std::ranges::for_each(sums_, [](float& s) { s *= keep; });
-        weight_ *= keep;
-        sum_ *= keep;
+void cost_distribution::reach(std::size_t bucket) {
+    if (reached_[bucket] >= window) {
+        constexpr float keep = 1 - 1 / window;
+        reached_[bucket] *= keep;
+        ended_[bucket] *= keep;
+        ended_cost_[bucket] *= keep;
     }
+    reached_[bucket] += 1;
+}
+
+void cost_distribution::advance(double before, double after) {
+    if (after <= before) {
+        return;
+    }
+    const std::size_t last = bucket_of(after);
+    for (std::size_t bucket = before > 0 ? bucket_of(before) + 1 : 0;
+         bucket <= last; ++bucket) {
+        reach(bucket);
+    }
+}
+
+void cost_distribution::record(double before, double cost) {
+    if (cost <= 0) {
+        reach(0);
+    }
+    advance(before, cost);
     const std::size_t bucket = bucket_of(cost);
-    weights_[bucket] += 1;
-    sums_[bucket] += static_cast<float>(cost);
-    weight_ += 1;
-    sum_ += cost;
+    ended_[bucket] += 1;
+    ended_cost_[bucket] += static_cast<float>(cost);
+}
+
+cost_distribution::bucket_state cost_distribution::state_of(
+    std::size_t bucket) const {
+    return {.reached = reached_[bucket],
+            .ended = ended_[bucket],
+            .ended_cost = ended_cost_[bucket]};
+}
+
+cost_distribution::bucket_state cost_distribution::combined(
+    std::size_t bucket, const cost_distribution* prior) const {
+    bucket_state result = state_of(bucket);
+    if (prior != nullptr && prior != this) {
+        const bucket_state other = prior->state_of(bucket);
+        const double scale =
+            prior_samples / std::max(other.reached, prior_samples);
+        result.reached += scale * other.reached;
+        result.ended += scale * other.ended;
+        result.ended_cost += scale * other.ended_cost;
+    }
+    return result;
+}
+
+std::optional<double> cost_distribution::expected_total(
+    double served, const cost_distribution* prior) const {
+    if (combined(0, prior).reached < least_samples) {
+        return std::nullopt;
+    }
+    double alive = 1;
+    double expected = 0;
+    const std::size_t first = bucket_of(served);
+    for (std::size_t bucket = first; bucket < bucket_count; ++bucket) {
+        const bucket_state state = combined(bucket, prior);
+        const double low = std::max(served, lower_bound(bucket));
+        if (state.reached < least_samples) {
+            return expected + alive * low * (1 + unseen_tail);
+        }
+        double share = std::min(1.0, state.ended / state.reached);
+        double mean = state.ended > 0 ? state.ended_cost / state.ended : low;
+        if (bucket == first && served > 0) {
+            // The calls that end in this bucket are taken as spread evenly
+            // over it; those below `served` have ended already.
+            const double high = lower_bound(bucket + 1);
+            const double width = high - std::min(served, lower_bound(bucket));
+            const double part = std::max(0.0, (high - served) / width);
+            share = share * part / std::max(1e-9, 1 - share * (1 - part));
+            mean = (served + high) / 2;
+        }
+        expected += alive * share * mean;
+        alive *= 1 - share;
+        if (alive < least_samples) {
+            break;
+        }
+    }
+    return expected + alive * std::max(served, 0.0);
 }
 
 double cost_distribution::quantile(double fraction) const {
-    double below = 0;
+    double alive = 1;
     for (std::size_t bucket = 0; bucket < bucket_count; ++bucket) {
-        below += weights_[bucket];
-        if (weights_[bucket] > 0 && below >= fraction * weight_) {
+        if (reached_[bucket] <= 0) {
+            return lower_bound(bucket);
+        }
+        alive *= 1 - ended_[bucket] / reached_[bucket];
+        if (alive <= 1 - fraction) {
             return lower_bound(bucket + 1);
         }
     }
-    return 0;
+    return lower_bound(bucket_count);
 }
 
-cost_distribution::tail cost_distribution::above(double cost) const {
-    tail result;
-    if (cost <= 0) {
-        return {.weight = weight_, .sum = sum_};
-    }
-    const std::size_t first = bucket_of(cost);
-    for (std::size_t bucket = first + 1; bucket < bucket_count; ++bucket) {
-        result.weight += weights_[bucket];
-        result.sum += sums_[bucket];
-    }
-    // Samples of the call's own bucket are taken as spread evenly over it.
-    const double high = lower_bound(first + 1);
-    const double low = std::min(cost, lower_bound(first));
-    const double part = std::max(0.0, (high - cost) / (high - low));
-    const double own = part * weights_[first];
-    result.weight += own;
-    result.sum += own * (cost + high) / 2;
-    return result;
+void cost_estimator::advance(const work_key& key, std::uint32_t kind,
+                             double before, double after) {
+    by_key_[{.work = key, .kind = kind}].advance(before, after);
+    by_service_[key.service].advance(before, after);
 }
 
 void cost_estimator::record(const work_key& key, std::uint32_t kind,
-                            double cost) {
+                            double before, double cost) {
     if (!(cost >= 0)) {
         return;
     }
-    by_key_[{.work = key, .kind = kind}].record(cost);
-    by_service_[key.service].record(cost);
+    by_key_[{.work = key, .kind = kind}].record(before, cost);
+    by_service_[key.service].record(before, cost);
 }
 
 const cost_distribution* cost_estimator::history(const work_key& key,
@@ -101,22 +174,15 @@
     return found == by_service_.end() ? nullptr : &found->second;
 }
 
-cost_distribution::tail cost_estimator::combined_tail(const work_key& key,
-                                                      std::uint32_t kind,
-                                                      double served) const {
-    cost_distribution::tail result;
-    if (const auto* service = service_history(key.service)) {
-        const auto tail = service->above(served);
-        const double scale = prior_samples / service->weight();
-        result.weight += scale * tail.weight;
-        result.sum += scale * tail.sum;
-    }
-    if (const auto* own = history(key, kind)) {
-        const auto tail = own->above(served);
-        result.weight += tail.weight;
-        result.sum += tail.sum;
+double cost_estimator::expected_total(const work_key& key, std::uint32_t kind,
+                                      double served) const {
+    const auto* service = service_history(key.service);
+    const auto* own = history(key, kind);
+    if (service == nullptr) {
+        return std::max(prior_, served);
     }
-    return result;
+    const auto& known = own == nullptr ? *service : *own;
+    return known.expected_total(served, service).value_or(prior_);
 }
 
 double cost_estimator::hint_ratio(double learnt,
@@ -136,19 +202,12 @@
                                           std::uint32_t kind,
                                           std::optional<double> hint,
                                           double served) const {
-    const auto all = combined_tail(key, kind, 0);
-    const double mean = all.weight > 0 ? all.sum / all.weight : prior_;
+    const double mean = expected_total(key, kind, 0);
     const double ratio = hint_ratio(mean, hint);
     if (served <= 0) {
         return mean * ratio;
     }
-    // Below a thousandth of a sample the tail is rounding error.
-    constexpr double least_weight = 1e-3;
-    const auto tail = combined_tail(key, kind, served);
-    if (tail.weight < least_weight) {
-        return std::max(mean - served, served * unseen_tail);
-    }
-    return std::max(0.0, tail.sum / tail.weight - served) * ratio;
+    return std::max(0.0, expected_total(key, kind, served) - served) * ratio;
 }
 
 double cost_estimator::high_cost(const work_key& key,
--- a/src/accounting/cost_estimator.hpp
+++ b/src/accounting/cost_estimator.hpp
@@ -17,39 +17,49 @@
 
 namespace bronzehub::accounting {
 
-// A decaying histogram of costs in buckets of half an octave. A value.
+// How calls end as their consumption grows: per bucket of half an octave, how
+// many calls reached it and how many ended in it. Counting the calls that
+// reached a bucket, and not only those that ended, keeps long calls in the
+// estimate while they still run. A value; old samples decay.
 class cost_distribution {
 public:
-    // Forgets old samples at the rate of one in `window`.
-    void record(double cost);
+    // A running call's consumption grew. `before` is 0 for a new call.
+    void advance(double before, double after);
 
-    bool empty() const { return weight_ <= 0; }
-    double weight() const { return weight_; }
-    double mean() const { return weight_ > 0 ? sum_ / weight_ : 0; }
+    // A call ended whose consumption was last advanced to `before`.
+    void record(double before, double cost);
+
+    bool empty() const { return reached_[0] <= 0; }
+
+    // The expected total cost of a call that has consumed `served`. `prior`
+    // counts as a few samples in each bucket. Nothing without any sample.
+    std::optional<double> expected_total(double served,
+                                         const cost_distribution* prior) const;
 
     // The cost that the given fraction of calls stays below, rounded up to
     // the end of its bucket. 0 when empty.
     double quantile(double fraction) const;
 
-    // Weight and summed cost of the samples above `cost`.
-    struct tail {
-        double weight = 0;
-        double sum = 0;
-    };
-    tail above(double cost) const;
-
 private:
     // Half octaves from 2^-4 units up cover costs to 2^20 units.
     static constexpr std::size_t bucket_count = 48;
-    static constexpr double lowest_exponent = -4;
+
+    struct bucket_state {
+        double reached = 0;
+        double ended = 0;
+        double ended_cost = 0;
+    };
 
     static std::size_t bucket_of(double cost);
     static double lower_bound(std::size_t bucket);
-
-    std::array<float, bucket_count> weights_{};
-    std::array<float, bucket_count> sums_{};
-    double weight_ = 0;
-    double sum_ = 0;
+    void reach(std::size_t bucket);
+    bucket_state state_of(std::size_t bucket) const;
+    bucket_state combined(std::size_t bucket,
+                          const cost_distribution* prior) const;
+
+    std::array<float, bucket_count> reached_{};
+    std::array<float, bucket_count> ended_{};
+    std::array<float, bucket_count> ended_cost_{};
 };
 
 // Not thread-safe.
@@ -62,7 +72,13 @@
     // `prior` is the estimate for a service that has no history.
     explicit cost_estimator(double prior = 1) : prior_(prior) {}
 
-    void record(const work_key& key, std::uint32_t kind, double cost);
+    // A running call's consumption grew from `before` to `after`.
+    void advance(const work_key& key, std::uint32_t kind, double before,
+                 double after);
+
+    // A call ended whose consumption was last advanced to `before`.
+    void record(const work_key& key, std::uint32_t kind, double before,
+                double cost);
 
     // Cost units that a new call is expected to consume.
     double estimate(const work_key& key, std::uint32_t kind,
@@ -88,9 +104,8 @@
                                      std::uint32_t kind) const;
     const cost_distribution* service_history(base::service_id service) const;
     double hint_ratio(double learnt, std::optional<double> hint) const;
-    cost_distribution::tail combined_tail(const work_key& key,
-                                          std::uint32_t kind,
-                                          double served) const;
+    double expected_total(const work_key& key, std::uint32_t kind,
+                          double served) const;
 
     double prior_;
     std::map<history_key, cost_distribution> by_key_;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -314,7 +314,7 @@
     void learn(const work_key& work, const protocol::grant_release& release) {
         constexpr double ms_per_second = 1000;
         service_state& service = services_[work.service];
-        estimator_.record(work, 0, release.served);
+        estimator_.record(work, 0, 0, release.served);
         const double duration = release.duration_ms / ms_per_second;
         service.call_seconds.add(duration);
         if (duration > 0) {
--- a/src/dispatch/entry_dispatch.cpp
+++ b/src/dispatch/entry_dispatch.cpp
@@ -124,7 +124,10 @@
             return;
         }
         call_state& state = found->second;
-        state.consumed = std::max(state.consumed, cost);
+        const double before = state.consumed;
+        state.consumed = std::max(before, cost);
+        estimator_.advance(key_of(state.call), state.call.kind, before,
+                           state.consumed);
         if (options_.charge_as_it_streams) {
             charge(state);
         }
@@ -136,12 +139,13 @@
             return;
         }
         call_state& state = found->second;
+        const double before = state.consumed;
         if (end.outcome != base::call_outcome::not_run) {
             state.consumed = std::max(state.consumed, end.cost);
         }
         charge(state);
         if (end.completed && end.outcome == base::call_outcome::run) {
-            estimator_.record(key_of(state.call), state.call.kind,
+            estimator_.record(key_of(state.call), state.call.kind, before,
                               state.consumed);
         }
         const used_grant grant = *state.grant;
