--- a/bench/fairness/main.cpp
+++ b/bench/fairness/main.cpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "fleet.hpp"
+#include "slopes.hpp"
 #include "workload.hpp"
 
 namespace bronzehub::bench {
@@ -16,6 +17,7 @@
 
 struct bench_options {
     bool timing = false;
+    bool slopes = false;
     std::uint64_t seed = 1;
     std::string design;    // Only this one, when not empty.
     std::string workload;  // Only this one, when not empty.
@@ -102,7 +104,8 @@
                 if (!options.design.empty() && chosen.name != options.design) {
                     continue;
                 }
-                fleet model({.replicas = replicas}, load, chosen, options.seed);
+                fleet model({.replicas = replicas, .detection = load.detection},
+                            load, chosen, options.seed);
                 const measured run = model.run();
                 const std::string prefix =
                     load.name + "/" + std::to_string(replicas);
@@ -129,6 +132,10 @@
         options.timing = true;
         return true;
     }
+    if (argument == "--slopes") {
+        options.slopes = true;
+        return true;
+    }
     if (const auto value = value_of("--seed="); !value.empty()) {
         return parse(value, options.seed);
     }
@@ -154,11 +161,16 @@
     bench_options options;
     for (int i = 1; i < argc; ++i) {
         if (!parse_option(argv[i], options)) {
-            std::cerr << "usage: fairness_bench [--seed=N] [--timing] "
+            std::cerr << "usage: fairness_bench [--slopes] [--seed=N] "
+                         "[--timing] "
                          "[--replicas=N] [--design=NAME] [--workload=NAME]\n";
             return 2;
         }
     }
-    run_all(options);
+    if (options.slopes) {
+        print_slopes();
+    } else {
+        run_all(options);
+    }
     return 0;
 }
--- a/bench/fairness/workload.cpp
+++ b/bench/fairness/workload.cpp
@@ -21,14 +21,21 @@
          .newcomer_at = 120},
         {.name = "partition", .partition_from = 20, .partition_to = 80},
         {.name = "daemon_killed", .kill_every = 10},
+        {.name = "daemon_killed_detected_in_500_ms",
+         .kill_every = 10,
+         .detection = 0.5},
     };
     return table;
 }
 
 std::span<const design> all_designs() {
     static const std::vector<design> table{
-        {.name = "fixed_slices", .sharing = slot_sharing::fixed_slices},
-        {.name = "lent_slices", .sharing = slot_sharing::lent_slices},
+        {.name = "fixed_slices",
+         .sharing = slot_sharing::fixed_slices,
+         .grant_ahead = false},
+        {.name = "lent_slices",
+         .sharing = slot_sharing::lent_slices,
+         .grant_ahead = false},
         {.name = "local_counts", .merge_usage_reports = false},
         {.name = "charge_at_end_2s",
          .exchange = 2,
--- a/bench/fairness/workload.hpp
+++ b/bench/fairness/workload.hpp
@@ -27,6 +27,7 @@
     std::optional<double> partition_from = std::nullopt;
     std::optional<double> partition_to = std::nullopt;
     std::optional<double> kill_every = std::nullopt;
+    double detection = 3;  // Seconds until a lost host is declared dead.
 };
 
 enum class slot_sharing { late_binding, fixed_slices, lent_slices };
