--- a/src/backend_client/client.cpp
+++ b/src/backend_client/client.cpp
@@ -12,7 +12,7 @@
     // Counted and thread-safe; the cleanup is in the destructor.
     curl_global_init(CURL_GLOBAL_DEFAULT);
     auto state = std::make_unique<loop>(settings);
-    const absl::Status started = state->start();
+    absl::Status started = state->start();
     std::unique_ptr<client> result(new client(std::move(state)));
     if (!started.ok()) {
         return started;
