--- a/src/claims/claims_test.cpp
+++ b/src/claims/claims_test.cpp
@@ -292,7 +292,7 @@
     const std::vector<base::host_id> hosts{"a", "b", "c"};
     const base::host_id& host = hosts[detail % 3];
     const std::string key = detail / 3 % 2 == 0 ? "k" : "l";
-    const auto how = static_cast<delivery>(detail / 6 % 5);
+    const auto how = static_cast<delivery>(detail / 6 % 6);
     switch (action) {
         case 0:
         case 1:
@@ -333,7 +333,7 @@
         const auto history =
             *rc::gen::container<std::vector<std::pair<unsigned, unsigned>>>(
                 rc::gen::pair(rc::gen::inRange(0u, 10u),
-                              rc::gen::inRange(0u, 90u)));
+                              rc::gen::inRange(0u, 180u)));
         for (const auto& [action, detail] : history) {
             random_step(fleet, action, detail);
         }
@@ -349,6 +349,43 @@
     }));
 }
 
+// Guards against a key that is given back although its call may have run.
+TEST_CASE("a sent call cannot be given back, an unheld one cannot be sent") {
+    fleet fleet;
+    fleet.finish_calls = false;
+    fleet.claim("a");
+    claim_registry& registry = *fleet.at("a").registry;
+    const claim_id id = fleet.at("a").last["k"];
+    CHECK_FALSE(registry.mark_sent(id));
+    fleet.platform.deliver_at_once = true;
+    fleet.step(std::chrono::milliseconds(5));
+
+    registry.abandon(id);
+
+    CHECK_FALSE(registry.mark_sent(id));
+    CHECK(fleet.ask("b") == claim_verdict::outcome_unknown);
+}
+
+// Guards against a key that stays blocked because the lost write of an
+// abandoned claim arrives after its row was looked for.
+TEST_CASE("an abandoned claim is deleted when its write arrives late") {
+    fleet fleet;
+    fleet.claim("a");
+    fleet.advance(std::chrono::milliseconds(5));
+    fleet.at("a").registry->abandon(fleet.at("a").last["k"]);
+    fleet.platform.deliver(0, delivery::write_late);
+    std::ranges::reverse(fleet.platform.held);
+    fleet.platform.deliver(0, delivery::good);  // The row is absent.
+    fleet.advance(std::chrono::milliseconds(200));
+    std::ranges::reverse(fleet.platform.held);
+    fleet.platform.deliver(0, delivery::good);
+
+    fleet.platform.deliver_all();  // The write arrives first.
+    fleet.heal();
+
+    CHECK(fleet.ask("b") == claim_verdict::held);
+}
+
 // Guards against one write for each of many claims, and against a conflict
 // that fails claims of other keys in the same transaction.
 TEST_CASE("claims within the window share a transaction") {
