--- a/src/planning/configuration_store.cpp
+++ b/src/planning/configuration_store.cpp
@@ -57,27 +57,26 @@
 
 void configuration_store::fetch(std::uint64_t have_version,
                                 update_callback done) const {
-    tables_.read(
-        configuration_table, head_key,
-        [this, have_version, done = std::move(done)](
-            const absl::StatusOr<std::optional<platform::row>>& row) {
-            if (!row.ok()) {
-                done(row.status());
-                return;
-            }
-            const absl::StatusOr<configuration_head> head =
-                row->has_value() ? read_head((*row)->value)
-                                 : configuration_head{};
-            if (!head.ok()) {
-                done(head.status());
-            } else if (head->version <= have_version) {
-                done(update_of(have_version, head->version, {}));
-            } else if (prefers_snapshot(have_version, *head)) {
-                fetch_snapshot(have_version, *head, done);
-            } else {
-                fetch_changes(have_version, *head, done);
-            }
-        });
+    tables_.read(configuration_table, head_key,
+                 [this, have_version, done = std::move(done)](
+                     const absl::StatusOr<std::optional<platform::row>>& row) {
+                     if (!row.ok()) {
+                         done(row.status());
+                         return;
+                     }
+                     const absl::StatusOr<configuration_head> head =
+                         row->has_value() ? read_head((*row)->value)
+                                          : configuration_head{};
+                     if (!head.ok()) {
+                         done(head.status());
+                     } else if (head->version <= have_version) {
+                         done(update_of(have_version, head->version, {}));
+                     } else if (prefers_snapshot(have_version, *head)) {
+                         fetch_snapshot(have_version, *head, done);
+                     } else {
+                         fetch_changes(have_version, *head, done);
+                     }
+                 });
 }
 
 // A daemon without a configuration starts from the snapshot: version 1 of a
