--- a/bench/fairness/fleet.cpp
+++ b/bench/fairness/fleet.cpp
@@ -96,7 +96,8 @@
       replicas_(size.replicas),
       weights_(weights_for(size.organisations)),
       waiting_(size.organisations),
-      meter_(weights_, static_cast<double>(size.replicas) * size.slots) {
+      meter_(weights_, static_cast<double>(size.replicas) * size.slots),
+      truth_(meter_) {
     for (std::size_t i = 0; i < replicas_.size(); ++i) {
         replicas_[i].failure_domain = i % size_.failure_domains;
     }
@@ -114,6 +115,9 @@
 }
 
 measured fleet::run() {
+    const double slots = static_cast<double>(size_.replicas) * size_.slots;
+    const double longest = load_.rebuild_share > 0 ? load_.rebuild_factor : 1.0;
+    result_.largest_request = 1.5 * load_.short_mean * longest / slots;
     for (std::size_t i = 0; i < size_.daemons; ++i) {
         start_daemon(i);
     }
@@ -132,9 +136,6 @@
         result_.gap = meter_.largest_gap();
     }
     result_.gap_settled = meter_.largest_gap();
-    const double slots = static_cast<double>(size_.replicas) * size_.slots;
-    const double longest = load_.rebuild_share > 0 ? load_.rebuild_factor : 1.0;
-    result_.largest_request = 1.5 * load_.short_mean * longest / slots;
     result_.utilisation = busy_ / capacity_while_waiting_;
     result_.bytes_per_second = static_cast<double>(bytes_) / load_.length /
                                static_cast<double>(size_.daemons);
@@ -185,6 +186,12 @@
                            .weight = weights_[i]});
     }
     state->dispatcher->set_weights(weights);
+    if (design_.sharing == slot_sharing::late_binding) {
+        state->dispatcher->set_alarm_hook(
+            [this](base::service_id, const dispatch::fairness_event& event) {
+                on_alarm(event);
+            });
+    }
     const std::array capacity{dispatch::fleet_capacity{
         .service = service,
         .slots = static_cast<std::uint32_t>(size_.replicas) * size_.slots}};
@@ -536,6 +543,7 @@
     waiting_[organisation] += step;
     total_waiting_ += step;
     meter_.set_waiting(organisation, waiting_[organisation] > 0, now());
+    truth_.set_waiting(organisation, waiting_[organisation] > 0, now());
 }
 
 void fleet::submit(std::size_t organisation) {
@@ -568,6 +576,7 @@
     call.replica = replica;
     ++result_.started;
     meter_.admitted(call.organisation, id);
+    truth_.admitted(call.organisation, id);
     change_waiting(call.organisation, -1);
     // Each organisation keeps its number of waiting calls.
     events_.after(
@@ -586,6 +595,7 @@
     ++total_running_;
     call.running_since = now();
     meter_.running(id, now());
+    truth_.running(id, now());
     events_.after(to_duration(call.duration), [this, id] {
         if (calls_.contains(id)) {
             end_call(id, true);
@@ -599,6 +609,7 @@
     replica_state& replica = replicas_[*call.replica];
     measure_utilisation();
     meter_.ended(id, now());
+    truth_.ended(id, now());
     calls_.erase(id);
     if (!call.running_since) {
         std::erase(replica.queue, id);
@@ -651,10 +662,39 @@
     if (!cut_) {
         meter_.sample(now());
     }
+    truth_.sample(now());
+    measure_breach();
     measure_newcomer();
     refresh_slices();
 }
 
+void fleet::on_alarm(const dispatch::fairness_event& event) {
+    if (!event.begins) {
+        return;
+    }
+    ++result_.alarms;
+    // Daemons learn of a gap up to an exchange after it closed again.
+    constexpr double recent = 5;
+    if (!breach_seen_ || now() - *breach_seen_ > recent) {
+        ++result_.false_alarms;
+    } else if (!result_.alarm_delay) {
+        result_.alarm_delay = now() - *breach_began_;
+    }
+}
+
+void fleet::measure_breach() {
+    const double allowed =
+        dispatch::fairness_alarm::bound + result_.largest_request;
+    if (truth_.present_gap() <= allowed) {
+        return;
+    }
+    result_.breached = true;
+    breach_seen_ = now();
+    if (!breach_began_) {
+        breach_began_ = now();
+    }
+}
+
 void fleet::measure_newcomer() {
     if (!load_.newcomer_at || newcomer_reached_ || now() < *load_.newcomer_at) {
         return;
--- a/bench/fairness/fleet.hpp
+++ b/bench/fairness/fleet.hpp
@@ -28,8 +28,13 @@
     double largest_request = 0;  // Seconds of fleet capacity.
     double newcomer_seconds = 0;
     double utilisation = 0;
-    double bytes_per_second = 0;  // Per daemon, sent.
-    double unused_share = 0;      // Grants released unused.
+    double bytes_per_second = 0;     // Per daemon, sent.
+    std::uint64_t alarms = 0;        // At all daemons.
+    std::uint64_t false_alarms = 0;  // Without a gap beyond the bound.
+    // From the first gap beyond the bound to the first alarm.
+    std::optional<double> alarm_delay = std::nullopt;
+    bool breached = false;
+    double unused_share = 0;  // Grants released unused.
     std::uint64_t started = 0;
     double decision_seconds = 0;  // Wall time.
 };
@@ -92,6 +97,8 @@
     void run_call(std::uint64_t id);
     void end_call(std::uint64_t id, bool completed);
     void leave_replica(std::uint64_t id);
+    void on_alarm(const dispatch::fairness_event& event);
+    void measure_breach();
     void measure_newcomer();
     void measure_utilisation();
 
@@ -114,6 +121,9 @@
     std::vector<double> weights_;
     std::vector<std::size_t> waiting_;
     gap_meter meter_;
+    gap_meter truth_;  // Never restarted; judges the fairness alarm.
+    std::optional<double> breach_began_;
+    std::optional<double> breach_seen_;
     std::uint64_t next_call_ = 1;
     bool cut_ = false;
     bool believed_cut_ = false;
--- a/bench/fairness/gap_meter.cpp
+++ b/bench/fairness/gap_meter.cpp
@@ -117,6 +117,7 @@
             starts.insert(*since_when);
         }
     }
+    present_gap_ = 0;
     for (const double start : starts) {
         // A pair counts from the later of its two moments, so the
         // organisations waiting by `start` are compared with those that
@@ -137,9 +138,10 @@
                 highest_new = std::max(highest_new, value);
             }
         }
-        largest_gap_ = std::max(
-            {largest_gap_, highest - lowest_new, highest_new - lowest});
+        present_gap_ = std::max(
+            {present_gap_, highest - lowest_new, highest_new - lowest});
     }
+    largest_gap_ = std::max(largest_gap_, present_gap_);
 }
 
 void gap_meter::restart(double now) {
--- a/bench/fairness/gap_meter.hpp
+++ b/bench/fairness/gap_meter.hpp
@@ -32,6 +32,9 @@
     // Seconds of the fleet's capacity.
     double largest_gap() const { return largest_gap_; }
 
+    // The largest gap of the last sample.
+    double present_gap() const { return present_gap_; }
+
     // Service of the organisation since the beginning.
     double served(std::size_t organisation, double now) const;
 
@@ -65,6 +68,7 @@
     // By organisation, then by the moment.
     std::vector<std::map<double, baseline>> baselines_;
     double largest_gap_ = 0;
+    double present_gap_ = 0;
 };
 
 }  // namespace bronzehub::bench
--- a/bench/fairness/main.cpp
+++ b/bench/fairness/main.cpp
@@ -80,6 +80,13 @@
     result.push_back(
         {"control_bytes_per_node", run.bytes_per_second, "B/s", 12000});
     result.push_back({"unused_grants", run.unused_share, "ratio", 0.05});
+    result.push_back({"alarms", static_cast<double>(run.alarms), "count",
+                      run.breached ? 1e9 : 0});
+    result.push_back(
+        {"false_alarms", static_cast<double>(run.false_alarms), "count", 0});
+    if (run.alarm_delay) {
+        result.push_back({"alarm_delay", *run.alarm_delay, "s", 10});
+    }
     if (options.timing) {
         constexpr double us = 1e6;
         result.push_back(
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -50,6 +50,8 @@
     std::uint32_t fleet_slots = 0;
     decaying_mean call_seconds;
     decaying_mean units_per_slot_second;
+    double largest_request = 0;
+    fairness_alarm alarm;
 };
 
 struct counters {
@@ -74,7 +76,10 @@
           clock_(std::move(clock)),
           send_(std::move(send)),
           slots_(options_.host, options_.incarnation, options_.grant_lifetime),
-          demand_(options_.grant_round_trip) {}
+          demand_(options_.grant_round_trip),
+          next_observation_(clock_.now()) {}
+
+    void set_alarm_hook(alarm_hook alarm) { alarm_ = std::move(alarm); }
 
     void set_backend_servers(std::span<const dispatched_server> servers) {
         slots_.set_servers(servers, clock_.now());
@@ -100,6 +105,8 @@
 
     void set_live_hosts(std::span<const live_host> hosts) {
         const auto before = std::exchange(live_, {});
+        partitioned_ = hosts.size() < before.size() ||
+                       (partitioned_ && hosts.size() <= before.size());
         std::set<base::host_id> names;
         for (const live_host& host : hosts) {
             live_[host.host] = host.failure_domain;
@@ -137,6 +144,7 @@
             return;
         }
         std::map<base::service_id, std::vector<base::organisation_id>> touched;
+        last_report_[from.host] = clock_.now();
         merge_.merge(from, report, [&](const accounting::usage_change& change) {
             apply(from, change);
             touched[change.key.service].push_back(change.key.organisation);
@@ -183,6 +191,10 @@
         for (const auto& service : services_ | std::views::keys) {
             dispatch(service);
         }
+        if (clock_.now() >= next_observation_) {
+            next_observation_ = clock_.now() + options_.exchange_interval;
+            observe_fairness();
+        }
     }
 
     nlohmann::json dump() const {
@@ -238,6 +250,8 @@
 
     void apply(const protocol::sender& from,
                const accounting::usage_change& change) {
+        services_[change.key.service].order.add_received(
+            change.key.organisation, change.served);
         if (options_.merge_usage_reports) {
             services_[change.key.service].order.add_served(
                 change.key.organisation, change.served);
@@ -315,6 +329,8 @@
         constexpr double ms_per_second = 1000;
         service_state& service = services_[work.service];
         estimator_.record(work, 0, 0, release.served);
+        service.largest_request =
+            std::max(service.largest_request, release.served);
         const double duration = release.duration_ms / ms_per_second;
         service.call_seconds.add(duration);
         if (duration > 0) {
@@ -323,10 +339,49 @@
         update_debt(service);
     }
 
+    // Cost units that the whole fleet serves in a second.
+    static double capacity(const service_state& service) {
+        return service.fleet_slots * service.units_per_slot_second.value();
+    }
+
     void update_debt(service_state& service) const {
         service.order.set_debt(seconds(options_.debt).count() *
-                               service.fleet_slots *
-                               service.units_per_slot_second.value());
+                               capacity(service));
+    }
+
+    void observe_fairness() {
+        for (auto& [id, service] : services_) {
+            std::vector<organisation_usage> usage;
+            for (const auto& state : service.order.states()) {
+                usage.push_back({.organisation = state.organisation,
+                                 .weight = state.weight,
+                                 .received = state.received,
+                                 .remainder = state.remainder,
+                                 .waiting = state.waiting});
+            }
+            const alarm_context context{
+                .capacity = capacity(service),
+                .largest_request = service.largest_request,
+                .no_capacity = service.fleet_slots == 0,
+                .partitioned = partitioned_,
+                .stale_exchange = exchange_is_stale()};
+            for (const auto& event : service.alarm.observe(usage, context)) {
+                if (alarm_) {
+                    alarm_(id, event);
+                }
+            }
+        }
+    }
+
+    // A live host that holds calls reports in every exchange.
+    bool exchange_is_stale() const {
+        const base::time_point oldest =
+            clock_.now() -
+            fairness_alarm::observations * options_.exchange_interval;
+        return std::ranges::any_of(live_, [&](const auto& host) {
+            const auto found = last_report_.find(host.first);
+            return found == last_report_.end() || found->second < oldest;
+        });
     }
 
     // Grants beyond the slots that make up for the time in which a freed slot
@@ -457,7 +512,11 @@
     std::map<base::host_id, std::vector<unreported_charge>> unreported_;
     std::map<base::host_id, std::uint64_t> incarnations_;
     std::map<base::host_id, base::failure_domain_id> live_;
+    std::map<base::host_id, base::time_point> last_report_;
     std::set<base::service_id> pending_;
+    alarm_hook alarm_;
+    base::time_point next_observation_;
+    bool partitioned_ = false;  // Since hosts were lost and until some return.
     counters counters_;
     bool dispatching_ = false;
 };
@@ -469,6 +528,10 @@
 
 dispatcher::~dispatcher() = default;
 
+void dispatcher::set_alarm_hook(alarm_hook alarm) {
+    self_->set_alarm_hook(std::move(alarm));
+}
+
 void dispatcher::set_backend_servers(
     std::span<const dispatched_server> servers) {
     self_->set_backend_servers(servers);
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -21,6 +21,7 @@
 
 #include "base/clock.hpp"
 #include "base/strong_id.hpp"
+#include "dispatch/fairness_alarm.hpp"
 #include "protocol/messages.hpp"
 
 namespace bronzehub::dispatch {
@@ -60,6 +61,8 @@
     base::duration grant_lifetime = std::chrono::seconds(1);
     // Release to start of the next call through a remote entry daemon.
     base::duration grant_round_trip = std::chrono::milliseconds(2);
+    // Time between usage reports; the fairness alarm observes as often.
+    base::duration exchange_interval = std::chrono::milliseconds(500);
     // The bound of the virtual time clamp, in seconds of fleet capacity.
     base::duration debt = std::chrono::seconds(5);
     // Calls at entry daemons of other failure domains wait this much longer
@@ -78,12 +81,17 @@
 public:
     using send_hook =
         std::function<void(const base::host_id&, const protocol::slot_grant&)>;
+    using alarm_hook =
+        std::function<void(base::service_id, const fairness_event&)>;
 
     dispatcher(dispatcher_options options, base::clock clock, send_hook send);
     ~dispatcher();
     dispatcher(const dispatcher&) = delete;
     dispatcher& operator=(const dispatcher&) = delete;
 
+    // Called when a fairness alarm begins or ends.
+    void set_alarm_hook(alarm_hook alarm);
+
     // Replaces the set of backend servers. A server that leaves the set loses
     // its grants here; when it returns, it is dispatched in a new term, after
     // one grant lifetime in which inventories arrive.
--- a/src/dispatch/fair_order.cpp
+++ b/src/dispatch/fair_order.cpp
@@ -52,6 +52,11 @@
     entry.remainder = std::max(0.0, entry.remainder + units);
 }
 
+void fair_order::add_received(base::organisation_id organisation,
+                              double units) {
+    at(organisation).received += units;
+}
+
 void fair_order::add_unreported(base::organisation_id organisation,
                                 double units) {
     state& entry = at(organisation);
--- a/src/dispatch/fair_order.hpp
+++ b/src/dispatch/fair_order.hpp
@@ -37,6 +37,7 @@
         double virtual_time = 0;  // Cost units over weight.
         double remainder = 0;     // Reported by the entry daemons.
         double unreported = 0;    // Own grants that no report shows yet.
+        double received = 0;      // All service since the first report.
         bool waiting = false;
 
         double position() const {
@@ -54,6 +55,8 @@
 
     void add_served(base::organisation_id organisation, double units);
     void add_remainder(base::organisation_id organisation, double units);
+    // Service for the fairness alarm; the order does not use it.
+    void add_received(base::organisation_id organisation, double units);
     void add_unreported(base::organisation_id organisation, double units);
 
     // Whether the organisation waits anywhere in the fleet. On its return its
