--- a/src/protocol/codec.cpp
+++ b/src/protocol/codec.cpp
@@ -48,16 +48,17 @@
 };
 template <>
 struct fields_of<probe> {
-    static constexpr auto list = std::tuple(make_field("p", &probe::probe_id),
-                                            make_field("t", &probe::target),
-                                            make_field("u", &probe::updates));
+    static constexpr auto list = std::tuple(
+        make_field("p", &probe::probe_id), make_field("t", &probe::target),
+        make_field("u", &probe::updates), make_field("f", &probe::full_view));
 };
 template <>
 struct fields_of<probe_ack> {
     static constexpr auto list =
         std::tuple(make_field("p", &probe_ack::probe_id),
                    make_field("t", &probe_ack::target),
-                   make_field("u", &probe_ack::updates));
+                   make_field("u", &probe_ack::updates),
+                   make_field("f", &probe_ack::full_view));
 };
 template <>
 struct fields_of<probe_request> {
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -39,16 +39,20 @@
     std::uint64_t configuration_version = 0;
 };
 
+// With `full_view` the sender asks for every member that the target knows.
 struct probe {
     std::uint64_t probe_id = 0;
     std::string target;
     std::vector<member_update> updates;
+    bool full_view = false;
 };
 
+// With `full_view` the updates are every member that the sender knows.
 struct probe_ack {
     std::uint64_t probe_id = 0;
     std::string target;
     std::vector<member_update> updates;
+    bool full_view = false;
 };
 
 // Asks the receiver to probe `target` for the sender.
