--- a/src/membership/gossip_queue.cpp
+++ b/src/membership/gossip_queue.cpp
@@ -16,7 +16,7 @@
 std::vector<base::host_id> gossip_queue::take(std::size_t maximum,
                                               std::size_t transmissions,
                                               const base::host_id& receiver) {
-    std::ranges::stable_sort(entries_, {}, &entry::sent);
+    std::ranges::sort(entries_, {}, &entry::sent);
     std::vector<base::host_id> hosts;
     for (entry& each : entries_) {
         if (hosts.size() >= maximum) {
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -128,6 +128,11 @@
     return found == members_.end() ? nullptr : &found->second;
 }
 
+bool member_table::is_dead(const base::host_id& host) const {
+    const member* known = find(host);
+    return known != nullptr && known->state == member_state::dead;
+}
+
 void member_table::forget_dead(base::time_point oldest) {
     dead_count_ -= std::erase_if(members_, [oldest](const auto& entry) {
         return entry.second.state == member_state::dead &&
--- a/src/membership/member_table.hpp
+++ b/src/membership/member_table.hpp
@@ -73,6 +73,9 @@
 
     const member* find(const base::host_id& host) const;
 
+    // Whether the host is remembered as dead.
+    bool is_dead(const base::host_id& host) const;
+
     // Removes dead members whose state is older than `oldest`, so that memory
     // and views stay bounded when hosts are replaced under new names.
     void forget_dead(base::time_point oldest);
--- a/src/membership/member_table_test.cpp
+++ b/src/membership/member_table_test.cpp
@@ -28,6 +28,8 @@
             {alive, dead, 6, gossip, suspect},
             {alive, dead, 5, healed_view, alive},
             {alive, dead, 5, requested_view, dead},
+            {alive, dead, 5, view, suspect},
+            {dead, alive, 5, view, dead},
             {leaving, alive, 5, gossip, leaving},
             {leaving, alive, 6, gossip, alive},
             {leaving, dead, 5, gossip, suspect},
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -160,7 +160,7 @@
     };
     struct suspicion {
         base::time_point end;
-        bool checked = false;  // The last probe was sent.
+        base::time_point next_check;
     };
     // A probe on behalf of another member.
     struct relayed_probe {
@@ -176,6 +176,7 @@
     void expire_suspicions(base::time_point now);
     void run_period(base::time_point now);
     void compare_views(base::time_point now);
+    void compare_soon(base::time_point now);
     void after_view(bool taught);
     void suspect_unanswered();
     void probe_next(base::time_point now);
@@ -209,6 +210,7 @@
     std::vector<peer_address> random_live(std::size_t count,
                                           const base::host_id& except);
     base::duration suspicion_timeout() const;
+    suspicion new_suspicion(base::time_point now) const;
     std::size_t transmissions() const;
     std::size_t live_others() const { return table_.live_count(); }
 
--- a/src/membership/rendezvous_test.cpp
+++ b/src/membership/rendezvous_test.cpp
@@ -10,6 +10,7 @@
 
 std::vector<dispatch_host> make_hosts(std::size_t count) {
     std::vector<dispatch_host> hosts;
+    hosts.reserve(count);
     for (std::size_t i = 0; i < count; ++i) {
         hosts.push_back(
             {"host-" + std::to_string(i), "domain-" + std::to_string(i % 3)});
@@ -19,6 +20,7 @@
 
 std::vector<placed_server> make_servers(std::uint32_t count) {
     std::vector<placed_server> servers;
+    servers.reserve(count);
     for (std::uint32_t i = 0; i < count; ++i) {
         servers.push_back(
             {base::backend_server_id(i), "domain-" + std::to_string(i % 3)});
