Join the daemons of a fleet: membership, peers, shared dispatch, a demo

Dispatchers are chosen by rendezvous hashing over live hosts; configuration versions travel with membership and notices; leaving backend servers are learnt from the host list and passed on. scripts/run_demo.sh starts stand-ins and three daemons in two failure domains and sends calls through each.

The incarnation that membership uses keeps its low 16 bits for objections: with the process's own number, a live host that had objected once would have counted as dead when one of its claims was looked at.

--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,74 @@
+#!/usr/bin/env python3
+"""Runs the demonstration of scripts/run_demo.sh: demo.py <build directory>."""
+
+import sys
+
+from local_fleet import LocalFleet, print_response
+
+CHAT = {"messages": [{"role": "user", "content": "plan the day"}],
+        "max_tokens": 6}
+
+
+def show_calls(fleet, host):
+    print(f"\n== through {host.name} in failure domain {host.failure_domain}")
+    print("-- whole completion")
+    print_response(fleet.call(host, "org-a", "POST",
+                              "/model/v1/chat/completions", CHAT))
+    print("-- streamed completion")
+    print_response(fleet.call(host, "org-b", "POST",
+                              "/model/v1/chat/completions",
+                              {**CHAT, "stream": True}))
+    print("-- payment with an idempotency key, twice")
+    for _ in range(2):
+        print_response(fleet.call(host, "org-a", "POST", "/till/payments",
+                                  {"amount": 5},
+                                  {"Idempotency-Key": f"pay-{host.name}"}))
+    print("-- lookup")
+    print_response(fleet.call(host, "org-b", "GET", "/till/prices/3"))
+    print("-- unknown key")
+    print_response(fleet.call(host, None, "GET", "/till/prices/3"))
+
+
+def show_plan(fleet):
+    first, last = fleet.hosts[0], fleet.hosts[-1]
+    print("\n== a plan: a third organisation")
+    plan = fleet.operate(first, "POST", "/admin/v1/plans",
+                         {"reason": "new partner",
+                          "items": [{"add_organisation": {"name": "org-c"}}]})
+    for effect in plan["effects"]["shares"]:
+        print(f"   share of {effect['service']} for {effect['organisation']}: "
+              f"{effect['from']:.2f} -> {effect['to']:.2f}")
+    confirmed = fleet.operate(first, "POST",
+                              f"/admin/v1/plans/{plan['id']}/confirm")
+    print(f"   confirmed as version {confirmed['version']}")
+    seconds = fleet.wait_for_version(last, confirmed["version"])
+    print(f"   in force on {last.name} after {seconds:.2f} s")
+
+
+def show_service(fleet):
+    print("\n== service received, in cost units")
+    totals = {}
+    for host in fleet.hosts:
+        dump = fleet.operate(host, "GET", "/dump")
+        for queue in dump["dispatch"]["entry"]["queues"]:
+            key = (queue["organisation"], queue["service"])
+            totals[key] = totals.get(key, 0) + queue["served"]
+    for (organisation, service), served in sorted(totals.items()):
+        print(f"   organisation {organisation}, service {service}: "
+              f"{served:.1f}")
+
+
+def main():
+    with LocalFleet(sys.argv[1]) as fleet:
+        fleet.wait_until_ready()
+        for host in fleet.hosts:
+            show_calls(fleet, host)
+        show_plan(fleet)
+        show_service(fleet)
+        codes = fleet.stop_daemons()
+        print(f"\n== drained, exit codes {codes}")
+        return 0 if all(code == 0 for code in codes) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -47,6 +47,7 @@
       planner_(clock, timers_, planner_hooks(), {}),
       claims_(clock, timers_, settings.host.name, incarnation, claim_hooks(),
               {}) {
+    // Until membership says otherwise.
     sync_.set_polling(true);
 }
 
--- a/src/daemon/fleet.cpp
+++ b/src/daemon/fleet.cpp
@@ -7,6 +7,11 @@
 namespace bronzehub::daemon {
 namespace {
 
+// A notice of leaving is repeated with every reading of the host list. It is
+// believed for longer than that takes, and no longer, so that a server that
+// stays after all gets work again.
+constexpr std::chrono::seconds leaving_lifetime{30};
+
 dispatch::entry_options entry_options_of(
     const settings::daemon_settings& from) {
     dispatch::entry_options options;
@@ -27,10 +32,6 @@
     return options;
 }
 
-bool is_leaving(const configuration::backend_server& server) {
-    return server.state == configuration::backend_server_state::leaving;
-}
-
 // Each service's slots in the whole fleet.
 std::vector<dispatch::fleet_capacity> capacity_of(
     const configuration::fleet_configuration& value) {
@@ -72,20 +73,16 @@
              std::uint64_t incarnation, const base::clock& clock,
              fleet_hooks hooks)
     : settings_(settings),
-      incarnation_(incarnation),
       clock_(clock),
       hooks_(std::move(hooks)),
       entry_(entry_options_of(settings), clock,
-             {.send =
-                  [this](const base::host_id& host, protocol::body content) {
-                      send(host, std::move(content));
-                  },
+             {.send = hooks_.send,
               .start = hooks_.start,
               .refuse = hooks_.refuse}),
       dispatcher_(
           dispatcher_options_of(settings, incarnation), clock,
           [this](const base::host_id& host, const protocol::slot_grant& grant) {
-              send(host, grant);
+              hooks_.send(host, grant);
           }),
       retries_({}, clock) {}
 
@@ -94,43 +91,91 @@
     apply();
 }
 
+void fleet::on_hosts(std::vector<membership::dispatch_host> hosts) {
+    hosts_ = std::move(hosts);
+    apply();
+}
+
+bool fleet::is_leaving(const configuration::backend_server& server) const {
+    return server.state == configuration::backend_server_state::leaving ||
+           leaving_.contains(server.id);
+}
+
 void fleet::apply() {
     if (!configuration_) {
         return;
     }
     const auto& value = configuration_->value();
+    std::vector<dispatch::live_host> live;
+    std::ranges::transform(hosts_, std::back_inserter(live),
+                           [](const membership::dispatch_host& host) {
+                               return dispatch::live_host{host.host,
+                                                          host.failure_domain};
+                           });
+    dispatcher_.set_live_hosts(live);
+    dispatcher_.set_weights(weights_of(value));
+    dispatcher_.set_fleet_capacity(capacity_of(value));
+    apply_routes();
+}
+
+void fleet::apply_routes() {
     std::vector<dispatch::dispatch_route> routes;
-    std::vector<dispatch::dispatched_server> servers;
+    std::vector<dispatch::dispatched_server> own;
     std::vector<base::backend_server_id> leaving;
-    for (const auto& server : value.backend_servers) {
-        routes.push_back({server.id, server.service, settings_.host.name,
-                          server.failure_domain});
-        servers.push_back({server.id, server.service, server.initial_slots,
-                           is_leaving(server)});
-        if (is_leaving(server)) {
+    for (const auto& server : configuration_->value().backend_servers) {
+        const bool leaves = is_leaving(server);
+        if (leaves) {
             leaving.push_back(server.id);
         }
+        const auto* chosen = membership::choose_dispatcher(
+            {server.id, server.failure_domain}, hosts_);
+        if (chosen == nullptr) {
+            continue;
+        }
+        routes.push_back(
+            {server.id, server.service, chosen->host, server.failure_domain});
+        if (chosen->host == settings_.host.name) {
+            own.push_back(
+                {server.id, server.service, server.initial_slots, leaves});
+        }
     }
-    const std::vector<dispatch::live_host> hosts{
-        {settings_.host.name, settings_.host.failure_domain}};
     entry_.set_leaving(leaving);
-    dispatcher_.set_live_hosts(hosts);
-    dispatcher_.set_weights(weights_of(value));
-    dispatcher_.set_fleet_capacity(capacity_of(value));
-    dispatcher_.set_backend_servers(servers);
+    dispatcher_.set_backend_servers(own);
     entry_.set_dispatchers(routes);
 }
 
-void fleet::send(const base::host_id& host, protocol::body content) {
-    protocol::message out{{settings_.host.name, incarnation_, ++sequence_},
-                          std::move(content)};
-    if (host != settings_.host.name) {
-        hooks_.send_peer(host, std::move(out));
+void fleet::on_host_list(std::span<const platform::listed_host> hosts) {
+    if (!configuration_) {
         return;
     }
-    // Delivered later, so that no deciding object is entered from within its
-    // own send hook.
-    hooks_.post([this, out = std::move(out)] { on_message(out); });
+    protocol::leaving_notice notice;
+    for (const auto& server : configuration_->value().backend_servers) {
+        const auto listed = std::ranges::find(hosts, server.address,
+                                              &platform::listed_host::address);
+        if (listed == hosts.end()) {
+            continue;
+        }
+        if (listed->state == platform::listed_state::leaving) {
+            notice.backend_servers.push_back(server.id.value());
+        }
+    }
+    if (!notice.backend_servers.empty()) {
+        on_leaving_notice(notice);
+        hooks_.broadcast(notice);
+    }
+}
+
+void fleet::on_leaving_notice(const protocol::leaving_notice& notice) {
+    const base::time_point until = clock_.now() + leaving_lifetime;
+    bool is_news = false;
+    for (const std::uint32_t id : notice.backend_servers) {
+        is_news = leaving_.insert_or_assign(base::backend_server_id(id), until)
+                      .second ||
+                  is_news;
+    }
+    if (is_news && configuration_) {
+        apply_routes();
+    }
 }
 
 // Hands the content of a message to the object that it is for.
@@ -153,7 +198,9 @@
     void operator()(const protocol::inventory& content) const {
         self.dispatcher_.on_inventory(from, content);
     }
-    // The remaining types are not used yet.
+    void operator()(const protocol::leaving_notice& content) const {
+        self.on_leaving_notice(content);
+    }
     template <class Other>
     void operator()(const Other&) const {}
 };
@@ -162,15 +209,14 @@
     std::visit(message_visitor{*this, received.from}, received.content);
 }
 
-void fleet::broadcast(const protocol::body&) {}
-
-bool fleet::is_dead(const base::host_id& host,
-                    std::uint64_t incarnation) const {
-    // A daemon that runs is the highest incarnation of its host.
-    return host == settings_.host.name && incarnation < incarnation_;
-}
-
 void fleet::tick() {
+    const base::time_point now = clock_.now();
+    if (std::erase_if(leaving_,
+                      [&](const auto& entry) { return entry.second <= now; }) >
+            0 &&
+        configuration_) {
+        apply_routes();
+    }
     entry_.tick();
     dispatcher_.tick();
 }
--- a/src/daemon/fleet.hpp
+++ b/src/daemon/fleet.hpp
@@ -1,11 +1,13 @@
-// This daemon's part in the fleet: it joins dispatch, membership and the
-// configuration, and carries messages between them and the peers.
+// This daemon's part in dispatch: who dispatches for what, which backend
+// servers are leaving, and the messages between the two sides.
 #ifndef BRONZEHUB_DAEMON_FLEET_HPP
 #define BRONZEHUB_DAEMON_FLEET_HPP
 
 #include <functional>
-#include <memory>
+#include <map>
 #include <nlohmann/json.hpp>
+#include <set>
+#include <span>
 #include <vector>
 
 #include "admission/retry_budget.hpp"
@@ -13,6 +15,8 @@
 #include "configuration/snapshot_holder.hpp"
 #include "dispatch/dispatcher.hpp"
 #include "dispatch/entry_dispatch.hpp"
+#include "membership/rendezvous.hpp"
+#include "platform/platform.hpp"
 #include "protocol/messages.hpp"
 #include "settings/settings.hpp"
 
@@ -23,10 +27,10 @@
     std::function<void(dispatch::call_id, base::backend_server_id)> start;
     // A waiting call will not run.
     std::function<void(dispatch::call_id, const base::refusal&)> refuse;
-    // Sends a message to another host.
-    std::function<void(const base::host_id&, protocol::message)> send_peer;
-    // Runs a function later on the decision thread.
-    std::function<void(std::function<void()>)> post;
+    // Sends to a host, which may be this one; delivered later.
+    std::function<void(const base::host_id&, protocol::body)> send;
+    // Sends to every other live host.
+    std::function<void(const protocol::body&)> broadcast;
 };
 
 // Belongs to the decision thread.
@@ -38,17 +42,15 @@
     // Follows a configuration that came into force.
     void on_configuration(const configuration::snapshot_pointer& next);
 
-    // Delivers a message from a peer or from this daemon itself.
-    void on_message(const protocol::message& received);
-
-    // Sends a message to a host, which may be this one.
-    void send(const base::host_id& host, protocol::body content);
+    // Follows membership. Without hosts this daemon dispatches for nothing.
+    void on_hosts(std::vector<membership::dispatch_host> hosts);
 
-    // Sends a message to every other live host.
-    void broadcast(const protocol::body& content);
+    // Marks the backend servers that the platform's host list shows as
+    // leaving, and tells the other daemons.
+    void on_host_list(std::span<const platform::listed_host> hosts);
 
-    // Whether the incarnation of the host is known to have ended.
-    bool is_dead(const base::host_id& host, std::uint64_t incarnation) const;
+    // Handles the messages of dispatch; ignores others.
+    void on_message(const protocol::message& received);
 
     void tick();
 
@@ -61,13 +63,17 @@
     struct message_visitor;
 
     void apply();
+    void apply_routes();
+    void on_leaving_notice(const protocol::leaving_notice& notice);
+    bool is_leaving(const configuration::backend_server& server) const;
 
     settings::daemon_settings settings_;
-    std::uint64_t incarnation_;
     base::clock clock_;
     fleet_hooks hooks_;
-    std::uint64_t sequence_ = 0;
     configuration::snapshot_pointer configuration_;
+    std::vector<membership::dispatch_host> hosts_;
+    // Backend servers that are leaving, until when that is believed.
+    std::map<base::backend_server_id, base::time_point> leaving_;
     dispatch::entry_dispatch entry_;
     dispatch::dispatcher dispatcher_;
     admission::retry_budget retries_;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -18,8 +18,10 @@
 #include "daemon/claim_link.hpp"
 #include "daemon/control_plane.hpp"
 #include "daemon/decision_loop.hpp"
+#include "daemon/endpoint.hpp"
 #include "daemon/fleet.hpp"
 #include "daemon/operators_api.hpp"
+#include "daemon/peer_link.hpp"
 #include "http_server/server.hpp"
 
 namespace bronzehub::daemon {
@@ -30,28 +32,13 @@
 // Claims that arrive within 5 ms share a transaction.
 constexpr milliseconds control_tick{5};
 constexpr milliseconds decision_tick{20};
+constexpr milliseconds membership_tick{50};
 constexpr milliseconds progress_tick{100};
 constexpr milliseconds drain_check{50};
 constexpr std::size_t operator_threads = 1;
 constexpr std::uint64_t first_configuration_version = 1;
 constexpr std::uint64_t operator_body_bytes = 4UL * 1024 * 1024;
 
-struct endpoint {
-    std::string address;
-    std::uint16_t port = 0;
-};
-
-// The settings were checked, so the text is "IP:port".
-endpoint split_endpoint(const std::string& text) {
-    const std::size_t colon = text.rfind(':');
-    std::string address = text.substr(0, colon);
-    if (address.starts_with('[')) {
-        address = address.substr(1, address.size() - 2);
-    }
-    return {std::move(address),
-            static_cast<std::uint16_t>(std::stoul(text.substr(colon + 1)))};
-}
-
 calls::manager_options manager_options_of(
     const settings::daemon_settings& from) {
     calls::manager_options options;
@@ -123,7 +110,12 @@
     void check_drained();
     calls::transfer_hooks transfer_hooks();
     calls::schedule_hooks schedule_hooks();
+    peer_hooks make_peer_hooks();
     fleet_hooks make_fleet_hooks();
+    void on_message(const protocol::message& received);
+    void send(const base::host_id& host, protocol::body content);
+    void on_members_changed();
+    void poll_host_list();
     control_hooks make_control_hooks();
     operators_hooks make_operators_hooks();
     // A function that runs `operation` of the planner on the decision thread.
@@ -152,6 +144,7 @@
     std::unique_ptr<backend_client::client> client_;
     // Below: only on the decision thread.
     configuration::snapshot_pointer current_;
+    peer_link peers_;
     fleet fleet_;
     control_plane control_;
     claim_link claim_link_;
@@ -169,6 +162,8 @@
                                      logging::logger& log)
     : settings_(settings),
       log_(log),
+      peers_(loop_.context(), settings, incarnation_, clock_, log,
+             make_peer_hooks()),
       fleet_(settings, incarnation_, clock_, make_fleet_hooks()),
       control_(settings, incarnation_, clock_, make_control_hooks()),
       claim_link_(
@@ -234,7 +229,17 @@
     loop_.every(progress_tick, [this] { manager_.tick(); });
     loop_.every(drain_check, [this] { check_drained(); });
     loop_.every(control_tick, [this] { control_.tick(); });
-    loop_.post([this] { control_.bootstrap(); });
+    loop_.every(membership_tick, [this] { peers_.tick(); });
+    loop_.every(settings_.platform.host_list_interval,
+                [this] { poll_host_list(); });
+    if (auto status = peers_.listen(); !status.ok()) {
+        return status;
+    }
+    loop_.post([this] {
+        peers_.join();
+        on_members_changed();
+        control_.bootstrap();
+    });
     loop_.start();
     return start_listeners();
 }
@@ -245,6 +250,7 @@
         return;
     }
     current_ = next;
+    peers_.set_configuration_version(next->version());
     fleet_.on_configuration(next);
     log_.info("configuration in force",
               {logging::field("version", next->version())});
@@ -285,6 +291,73 @@
                    std::move(writer));
 }
 
+peer_hooks node::implementation::make_peer_hooks() {
+    return {
+        .on_message =
+            [this](const protocol::message& received) { on_message(received); },
+        .on_change = [this] { on_members_changed(); },
+        .on_dead =
+            [this](const base::host_id& host) {
+                control_.sync().on_peer_gone(host);
+            },
+        .on_version =
+            [this](const base::host_id& host, std::uint64_t version) {
+                control_.sync().on_peer_version(host, version);
+            },
+    };
+}
+
+void node::implementation::on_message(const protocol::message& received) {
+    const auto visit = [&](const auto& content) {
+        if constexpr (requires {
+                          control_.on_message(received.from.host, content);
+                      }) {
+            control_.on_message(received.from.host, content);
+        } else {
+            fleet_.on_message(received);
+        }
+    };
+    std::visit(visit, received.content);
+}
+
+void node::implementation::send(const base::host_id& host,
+                                protocol::body content) {
+    // The transport hands a message to this host back at once. It is posted,
+    // so that no deciding object is entered from within its own send hook.
+    if (host == settings_.host.name) {
+        loop_.post([this, content = std::move(content)]() mutable {
+            peers_.send(settings_.host.name, std::move(content));
+        });
+        return;
+    }
+    peers_.send(host, std::move(content));
+}
+
+void node::implementation::on_members_changed() {
+    fleet_.on_hosts(peers_.hosts());
+    control_.sync().set_polling(peers_.is_poller());
+}
+
+void node::implementation::poll_host_list() {
+    control_.host_list().read(
+        [this](const absl::StatusOr<std::vector<platform::listed_host>>& read) {
+            if (!read.ok()) {
+                return;  // Counted by the platform client; the list lags
+                         // anyway.
+            }
+            std::vector<membership::listed_peer> listed;
+            std::ranges::transform(
+                *read, std::back_inserter(listed),
+                [](const platform::listed_host& host) {
+                    return membership::listed_peer{
+                        {host.name, host.address},
+                        host.state == platform::listed_state::leaving};
+                });
+            peers_.merge_host_list(listed);
+            fleet_.on_host_list(*read);
+        });
+}
+
 fleet_hooks node::implementation::make_fleet_hooks() {
     return {
         .start =
@@ -294,9 +367,13 @@
         .refuse = [this](
                       dispatch::call_id id,
                       const base::refusal& why) { manager_.refuse(id, why); },
-        .send_peer = [](const base::host_id&, const protocol::message&) {},
-        .post =
-            [this](std::function<void()> task) { loop_.post(std::move(task)); },
+        .send = [this](
+                    const base::host_id& host,
+                    protocol::body content) { send(host, std::move(content)); },
+        .broadcast =
+            [this](const protocol::body& content) {
+                peers_.broadcast(content);
+            },
     };
 }
 
@@ -343,13 +420,12 @@
 
 control_hooks node::implementation::make_control_hooks() {
     return {
-        .send =
-            [this](const base::host_id& host, protocol::body content) {
-                fleet_.send(host, std::move(content));
-            },
+        .send = [this](
+                    const base::host_id& host,
+                    protocol::body content) { send(host, std::move(content)); },
         .broadcast =
             [this](const protocol::body& content) {
-                fleet_.broadcast(content);
+                peers_.broadcast(content);
             },
         .adopted =
             [this](const configuration::snapshot_pointer& next) {
@@ -359,7 +435,7 @@
             [this](std::function<void()> task) { loop_.post(std::move(task)); },
         .is_dead =
             [this](const base::host_id& host, std::uint64_t incarnation) {
-                return fleet_.is_dead(host, incarnation);
+                return peers_.is_dead(host, incarnation);
             },
     };
 }
@@ -419,6 +495,7 @@
         result["calls"] = manager_.dump();
         result["dispatch"] = fleet_.dump();
         result["control"] = control_.dump();
+        result["members"] = peers_.dump();
     });
     return result;
 }
@@ -426,7 +503,10 @@
 void node::implementation::drain(std::function<void()> drained) {
     draining_.store(true);
     callers_.set_draining();
-    loop_.post([this, drained = std::move(drained)] { drained_ = drained; });
+    loop_.post([this, drained = std::move(drained)] {
+        peers_.leave();
+        drained_ = drained;
+    });
     log_.info("draining", {});
 }
 
