--- a/src/backend_client/client_test.cpp
+++ b/src/backend_client/client_test.cpp
@@ -366,8 +366,10 @@
         });
     const auto sender = start_client();
     std::atomic<int> right = 0;
+    constexpr int threads = 4;
     std::vector<std::thread> callers;
-    for (int caller = 0; caller < 4; ++caller) {
+    callers.reserve(threads);
+    for (int caller = 0; caller < threads; ++caller) {
         callers.emplace_back([&, caller] {
             for (int i = 0; i < 50; ++i) {
                 recorded_call record;
--- a/src/http_server/connection.cpp
+++ b/src/http_server/connection.cpp
@@ -8,6 +8,7 @@
 #include <asio/error.hpp>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
+#include <tuple>
 #include <utility>
 
 namespace bronzehub::http_server {
@@ -155,7 +156,8 @@
     stage_ = stage::closing;
     notify_observer();
     asio::error_code ignored;
-    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    std::ignore =
+        socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     write_deadline_.reset();
     read_deadline_ = std::chrono::steady_clock::now() + discard_time;
     arm_timer();
@@ -183,7 +185,7 @@
     }
     stage_ = stage::closed;
     asio::error_code ignored;
-    socket_.close(ignored);
+    std::ignore = socket_.close(ignored);
     timer_.cancel();
     probe_timer_.cancel();
     notify_observer();
@@ -272,7 +274,7 @@
         read_expired_ = true;
         read_deadline_.reset();
         asio::error_code ignored;
-        socket_.cancel(ignored);
+        std::ignore = socket_.cancel(ignored);
     } else if (stage_ != stage::closed) {
         arm_timer();
     }
--- a/src/http_server/restinio_adapter.hpp
+++ b/src/http_server/restinio_adapter.hpp
@@ -9,7 +9,7 @@
 #include <functional>
 #include <memory>
 #include <restinio/all.hpp>
-#include <string_view>
+#include <tuple>
 #include <utility>
 
 #include "http_server/connection.hpp"
@@ -60,7 +60,9 @@
 
     bool is_open() const { return target_->is_open(); }
 
-    void cancel(asio::error_code& error) { target_->socket().cancel(error); }
+    void cancel(asio::error_code& error) {
+        std::ignore = target_->socket().cancel(error);
+    }
 
     void shutdown(asio::socket_base::shutdown_type /*what*/,
                   asio::error_code& /*error*/) {
--- a/src/http_server/server_test.cpp
+++ b/src/http_server/server_test.cpp
@@ -63,8 +63,8 @@
         {"GET", 204, "Connection: close\r\n\r\n"},
     }));
     const auto target =
-        start({}, [status = status](const request&, const writer_ptr& writer) {
-            writer->start(status, {});
+        start({}, [code = status](const request&, const writer_ptr& writer) {
+            writer->start(code, {});
             writer->write("one");
             writer->finish();
         });
--- a/src/metrics/metrics_test.cpp
+++ b/src/metrics/metrics_test.cpp
@@ -70,8 +70,10 @@
     counter& total = figures.add_counter("total", "T.");
     gauge& level = figures.add_gauge("level", "L.");
     distribution& samples = figures.add_distribution("samples", "S.");
+    constexpr int thread_count = 4;
     std::vector<std::thread> threads;
-    for (int thread = 0; thread < 4; ++thread) {
+    threads.reserve(thread_count);
+    for (int thread = 0; thread < thread_count; ++thread) {
         threads.emplace_back([&] {
             for (int i = 0; i < 1000; ++i) {
                 total.increment();
--- a/tests/support/raw_socket.hpp
+++ b/tests/support/raw_socket.hpp
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <chrono>
 #include <cstdint>
 #include <future>
@@ -121,8 +122,10 @@
         sockaddr_in address = loopback(0);
         socklen_t size = sizeof(address);
         auto* const generic = reinterpret_cast<sockaddr*>(&address);
-        ::bind(descriptor_, generic, size);
-        ::listen(descriptor_, backlog);
+        if (::bind(descriptor_, generic, size) != 0 ||
+            ::listen(descriptor_, backlog) != 0) {
+            throw std::runtime_error("no loopback port");
+        }
         ::getsockname(descriptor_, generic, &size);
         port_ = ntohs(address.sin_port);
     }
