Accept again after descriptors ran out; drain keep-alive callers

RESTinio's acceptor stops for good when an accept fails, and its limit on connections loses a place whenever a caller resets before it is accepted. The listening socket is now opened anew after a failure, and the limit is our own.

--- a/src/backend_client/transfer.cpp
+++ b/src/backend_client/transfer.cpp
@@ -267,7 +267,9 @@
     // Counts every byte of requests that the kernel took, resends included.
     long request_bytes = 0;
     curl_easy_getinfo(easy_.get(), CURLINFO_REQUEST_SIZE, &request_bytes);
-    if (request_bytes == 0 && is_connect_failure(code)) {
+    curl_off_t body_bytes = 0;
+    curl_easy_getinfo(easy_.get(), CURLINFO_SIZE_UPLOAD_T, &body_bytes);
+    if (request_bytes == 0 && body_bytes == 0 && is_connect_failure(code)) {
         result.kind = outcome::not_sent;
     }
     result.error = error;
--- a/src/http_server/restinio_adapter.hpp
+++ b/src/http_server/restinio_adapter.hpp
@@ -131,13 +131,13 @@
     return nullptr;
 }
 
-struct restinio_traits
-    : restinio::traits_t<restinio::null_timer_manager_t, parser_error_logger,
-                         std::function<restinio::request_handling_status_t(
-                             restinio::request_handle_t)>,
-                         connection::strand_type, connection_socket> {
-    static constexpr bool use_connection_count_limiter = true;
-};
+// RESTinio's limit on connections stays off: each caller that resets its
+// connection before it is accepted costs it one place for good.
+using restinio_traits =
+    restinio::traits_t<restinio::null_timer_manager_t, parser_error_logger,
+                       std::function<restinio::request_handling_status_t(
+                           restinio::request_handle_t)>,
+                       connection::strand_type, connection_socket>;
 
 using connection_source = std::function<std::shared_ptr<connection>()>;
 
--- a/src/http_server/server.cpp
+++ b/src/http_server/server.cpp
@@ -7,6 +7,7 @@
 #include <asio/ip/address.hpp>
 #include <asio/post.hpp>
 #include <atomic>
+#include <condition_variable>
 #include <mutex>
 #include <optional>
 #include <thread>
@@ -108,9 +109,11 @@
 // The connections that are open, by RESTinio's number. Thread-safe.
 class connection_registry {
 public:
-    void add(std::uint64_t id, const std::shared_ptr<connection>& target) {
+    // Returns false when there are `limit` connections already.
+    bool add(std::uint64_t id, const std::shared_ptr<connection>& target,
+             std::size_t limit) {
         const std::scoped_lock lock(mutex_);
-        targets_.emplace(id, target);
+        return targets_.size() < limit && targets_.emplace(id, target).second;
     }
 
     void remove(std::uint64_t id) {
@@ -153,6 +156,7 @@
                        ? std::make_shared<asio::io_context>()
                        : std::shared_ptr<asio::io_context>(
                              std::shared_ptr<void>(), settings.context)) {
+        settings_.max_connections = connection_limit(settings_.max_connections);
         if (!settings_.make_rejection) {
             settings_.make_rejection = default_rejection;
         }
@@ -164,7 +168,8 @@
         http_ = std::make_unique<restinio_server>(
             restinio::external_io_context(accept_context_), configure());
         http_->open_sync();
-        accept_thread_ = std::thread([this] { accept_context_.run(); });
+        listening_ = true;
+        accept_thread_ = std::thread([this] { run_acceptor(); });
         if (settings_.context == nullptr) {
             work_.emplace(context_->get_executor());
             for (std::size_t i = 0; i < settings_.threads; ++i) {
@@ -178,10 +183,12 @@
     void stop_listening() {
         const std::scoped_lock lock(stop_mutex_);
         if (accept_thread_.joinable()) {
-            asio::post(accept_context_, [this] {
-                http_->close_sync();
-                accept_context_.stop();
-            });
+            {
+                const std::scoped_lock accept_lock(accept_mutex_);
+                listening_ = false;
+            }
+            accept_wakeup_.notify_all();
+            accept_context_.stop();
             accept_thread_.join();
         }
     }
@@ -200,6 +207,42 @@
     }
 
 private:
+    // RESTinio does not accept again after a failed accept, for example for
+    // lack of descriptors. The context then runs out of work, and the
+    // listening socket is opened anew.
+    void run_acceptor() {
+        accept_context_.run();
+        while (wait_to_reopen()) {
+            reopen();
+            accept_context_.run();
+        }
+        http_->close_sync();
+    }
+
+    // Returns false when the server is to stop listening.
+    bool wait_to_reopen() {
+        constexpr auto reopen_interval = std::chrono::milliseconds(100);
+        std::unique_lock lock(accept_mutex_);
+        accept_wakeup_.wait_for(lock, reopen_interval,
+                                [this] { return !listening_; });
+        if (listening_) {
+            accept_context_.restart();
+        }
+        return listening_;
+    }
+
+    void reopen() {
+        if (settings_.port == 0) {
+            return;  // Another port would be bound.
+        }
+        try {
+            http_->close_sync();
+            http_->open_sync();
+        } catch (const std::exception&) {
+            // Tried again after the next interval.
+        }
+    }
+
     std::shared_ptr<const connection_settings> make_connection_settings() {
         connection_settings result;
         result.idle_timeout = settings_.idle_timeout;
@@ -225,7 +268,9 @@
 
     std::shared_ptr<void> register_connection(
         std::uint64_t id, const std::shared_ptr<connection>& target) {
-        registry_.add(id, target);
+        if (!registry_.add(id, target, settings_.max_connections)) {
+            return nullptr;
+        }
         return {this, [self = shared_from_this(), id](void*) {
                     self->registry_.remove(id);
                 }};
@@ -238,8 +283,6 @@
                           ? asio::ip::tcp::v6()
                           : asio::ip::tcp::v4())
             .port(settings_.port)
-            .max_parallel_connections(
-                connection_limit(settings_.max_connections))
             .incoming_http_msg_limits(
                 restinio::incoming_http_msg_limits_t{}
                     .max_url_size(settings_.max_target_bytes)
@@ -271,7 +314,8 @@
         auto slot = take_slot();
         response_context context;
         context.method = received.method;
-        context.keep_alive = call.header().should_keep_alive() && headers_fit;
+        context.keep_alive =
+            call.header().should_keep_alive() && headers_fit && listening_;
         context.allows_chunks = received.allows_streaming;
         context.low_water_bytes = settings_.low_water_bytes;
         context.stopped = stopped_;
@@ -314,10 +358,11 @@
     std::uint16_t port_ = 0;
 
     asio::io_context accept_context_{1};
-    // At the connection limit no accept is outstanding.
-    work_guard accept_work_{accept_context_.get_executor()};
     std::unique_ptr<restinio_server> http_;
     std::thread accept_thread_;
+    std::atomic<bool> listening_ = false;
+    std::mutex accept_mutex_;
+    std::condition_variable accept_wakeup_;
     std::optional<work_guard> work_;
     std::vector<std::thread> threads_;
     std::mutex stop_mutex_;
--- a/src/http_server/server.hpp
+++ b/src/http_server/server.hpp
@@ -76,9 +76,10 @@
     // A connection whose caller accepts no byte for this long is closed.
     std::chrono::milliseconds write_timeout = std::chrono::seconds(30);
 
-    // Connections beyond this number wait in the kernel's backlog. Lowered to
-    // three quarters of the process's descriptor limit, because RESTinio stops
-    // accepting for good when an accept fails for lack of descriptors.
+    // Connections beyond this number are closed at once. Lowered to three
+    // quarters of the process's descriptor limit. When descriptors run out all
+    // the same, the listening socket is closed and opened again every 100 ms
+    // until a connection can be accepted; with port 0 that is not possible.
     std::size_t max_connections = 8192;
     // Requests whose response has not ended. One more is answered with 503.
     std::size_t max_requests = 8192;
@@ -112,7 +113,7 @@
     std::uint16_t port() const;
 
     // Closes the listening socket before it returns. Open connections
-    // continue.
+    // continue; each is closed after its next response.
     void stop_listening();
 
     // Stops listening and closes every connection; `on_closed` hooks run. With
--- a/src/http_server/server_test.cpp
+++ b/src/http_server/server_test.cpp
@@ -1,11 +1,15 @@
 #include "http_server/server.hpp"
 
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <asio/executor_work_guard.hpp>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <future>
 #include <thread>
+#include <vector>
 
 #include "support/raw_socket.hpp"
 
@@ -321,6 +325,73 @@
     CHECK_THAT(caller.read_all(), Catch::EndsWith("late"));
 }
 
+// Guards against keep-alive callers that hold a draining server.
+TEST_CASE("responses after the server stopped listening close connections") {
+    const auto echo = start({}, respond_whole);
+    auto caller = raw_socket::connect(echo->port());
+    caller.send(simple_get);
+    caller.read_until("\r\n\r\n");
+    echo->stop_listening();
+    caller.send(simple_get);
+    CHECK_THAT(caller.read_all(), Catch::Contains("Connection: close"));
+}
+
+TEST_CASE("connections over the limit are closed") {
+    const auto echo = start({.max_connections = 1}, respond_whole);
+    auto first = raw_socket::connect(echo->port());
+    first.send(simple_get);
+    CHECK_THAT(first.read_until("\r\n\r\n"), Catch::StartsWith("HTTP/1.1 200"));
+    CHECK(raw_socket::connect(echo->port()).read_all().empty());
+}
+
+std::uint16_t free_port() {
+    return test::raw_listener().port();
+}
+
+// Takes every descriptor that the process may still open.
+std::vector<raw_socket> exhaust_descriptors() {
+    std::vector<raw_socket> taken;
+    for (int next = dup(0); next >= 0; next = dup(0)) {
+        taken.emplace_back(next);
+    }
+    return taken;
+}
+
+bool is_answered(std::uint16_t port) {
+    try {
+        auto caller = raw_socket::connect(port);
+        caller.send(closing_get);
+        return caller.read_all().starts_with("HTTP/1.1 200");
+    } catch (const std::runtime_error&) {
+        return false;
+    }
+}
+
+// Guards against a server that never accepts again after it once ran out of
+// descriptors.
+TEST_CASE("a server accepts again after it ran out of descriptors") {
+    constexpr rlim_t few_descriptors = 64;
+    const auto echo = start({.port = free_port()}, respond_whole);
+    auto caller = raw_socket::create();
+    rlimit before{};
+    getrlimit(RLIMIT_NOFILE, &before);
+    const rlimit lowered{few_descriptors, before.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &lowered);
+    auto taken = exhaust_descriptors();
+    // The failed accept makes the server close the socket on which the caller
+    // waits.
+    caller.connect_to(echo->port());
+    CHECK(caller.read_all().empty());
+    taken.clear();
+    const auto end = std::chrono::steady_clock::now() + test::patience;
+    bool answered = false;
+    while (!answered && std::chrono::steady_clock::now() < end) {
+        answered = is_answered(echo->port());
+    }
+    CHECK(answered);
+    setrlimit(RLIMIT_NOFILE, &before);
+}
+
 // Guards against connections that outlive the server and against a writer
 // that touches a destroyed server.
 TEST_CASE("stopping closes connections and tells the writers") {
--- a/tests/support/raw_socket.hpp
+++ b/tests/support/raw_socket.hpp
@@ -54,15 +54,22 @@
     raw_socket& operator=(raw_socket&&) = delete;
     ~raw_socket() { close(); }
 
+    static raw_socket create() {
+        return raw_socket(::socket(AF_INET, SOCK_STREAM, 0));
+    }
+
     static raw_socket connect(std::uint16_t port) {
-        raw_socket result(::socket(AF_INET, SOCK_STREAM, 0));
+        raw_socket result = create();
+        result.connect_to(port);
+        return result;
+    }
+
+    void connect_to(std::uint16_t port) const {
         const sockaddr_in address = loopback(port);
-        if (::connect(result.descriptor_,
-                      reinterpret_cast<const sockaddr*>(&address),
+        if (::connect(descriptor_, reinterpret_cast<const sockaddr*>(&address),
                       sizeof(address)) != 0) {
             throw std::runtime_error("connection refused");
         }
-        return result;
     }
 
     void send(std::string_view bytes) const {
