Fix Asio's configuration for every target

Cause: Asio defines ASIO_HAS_STD_ALIGNED_ALLOC only when a standard header was included before it, so sources disagreed on its allocation functions. Before: AddressSanitizer reported operator new paired with free in http_server_test and backend_client_test. The definitions are now the same in every target.

--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -3,6 +3,14 @@
 target_compile_options(bronzehub_options INTERFACE -Wall -Wextra -Wpedantic
                        -Wshadow -Wnon-virtual-dtor -Werror)
 target_include_directories(bronzehub_options INTERFACE ${CMAKE_SOURCE_DIR}/src)
+# Asio's configuration must be the same in every source. Left to itself, Asio
+# 1.22 chooses its allocation functions by whether a standard header came
+# before it, and memory from one choice is freed by the other. The rest repeats
+# what RESTinio's package sets for its users.
+target_compile_definitions(bronzehub_options INTERFACE
+                           ASIO_DISABLE_STD_ALIGNED_ALLOC
+                           ASIO_DISABLE_STD_STRING_VIEW ASIO_HAS_STD_CHRONO
+                           ASIO_STANDALONE)
 if(BRONZEHUB_SANITIZE)
   target_compile_options(bronzehub_options INTERFACE
                          -fsanitize=${BRONZEHUB_SANITIZE}
