--- a/src/membership/fake_network.cpp
+++ b/src/membership/fake_network.cpp
@@ -85,8 +85,11 @@
     ++messages;
     auto message = std::make_shared<protocol::message>(
         protocol::message{{name(from), 1, messages}, std::move(content)});
-    if (options_.measure_bytes) {
+    if (options_.measure) {
+        const base::clock machine = base::system_clock();
+        const base::time_point begin = machine.now();
         bytes += protocol::encode(*message).size();
+        encoding_ += machine.now() - begin;
     }
     const std::size_t target = index_.at(to.host);
     std::uniform_real_distribution<double> chance(0, 1);
@@ -132,6 +135,19 @@
     tick_due();
 }
 
+template <class Work>
+void fake_network::run_measured(const Work& work) {
+    if (!options_.measure) {
+        work();
+        return;
+    }
+    const base::clock machine = base::system_clock();
+    const base::duration encoding_before = encoding_;
+    const base::time_point begin = machine.now();
+    work();
+    busy += machine.now() - begin - (encoding_ - encoding_before);
+}
+
 void fake_network::deliver_due() {
     std::vector<delivery> waiting;
     while (!in_flight_.empty() && in_flight_.top().due <= time_.now()) {
@@ -141,7 +157,10 @@
         if (target.frozen) {
             waiting.push_back(next);
         } else if (target.instance != nullptr) {
-            target.instance->receive(next.content->from, next.content->content);
+            run_measured([&] {
+                target.instance->receive(next.content->from,
+                                         next.content->content);
+            });
         }
     }
     for (delivery& each : waiting) {
@@ -155,7 +174,7 @@
         if (each.instance != nullptr && !each.frozen &&
             each.instance->next_due() <= time_.now()) {
             ++ticks;
-            each.instance->tick();
+            run_measured([&] { each.instance->tick(); });
         }
     }
 }
--- a/src/membership/fake_network.hpp
+++ b/src/membership/fake_network.hpp
@@ -26,8 +26,8 @@
         std::uint64_t seed = 1;
         base::duration least_delay = std::chrono::milliseconds(1);
         base::duration most_delay = std::chrono::milliseconds(2);
-        double loss = 0;  // Share of messages that are dropped.
-        bool measure_bytes = false;
+        double loss = 0;       // Share of messages that are dropped.
+        bool measure = false;  // Fill `bytes` and `busy`.
     };
 
     explicit fake_network(options chosen);
@@ -74,6 +74,7 @@
     std::uint64_t messages = 0;
     std::uint64_t bytes = 0;  // Encoded size, when measured.
     std::uint64_t ticks = 0;
+    base::duration busy{};  // Time spent in `tick` and `receive`.
 
 private:
     struct node {
@@ -95,6 +96,8 @@
 
     void send(std::size_t from, const peer_address& to, protocol::body content);
     void step();
+    template <class Work>
+    void run_measured(const Work& work);
     void deliver_due();
     void tick_due();
 
@@ -106,6 +109,7 @@
     std::priority_queue<delivery, std::vector<delivery>, std::greater<>>
         in_flight_;
     std::uint64_t next_order_ = 0;
+    base::duration encoding_{};  // Time spent on measuring sizes.
 };
 
 }  // namespace bronzehub::membership
