--- a/src/http_server/restinio_adapter.hpp
+++ b/src/http_server/restinio_adapter.hpp
@@ -9,7 +9,7 @@
 #include <functional>
 #include <memory>
 #include <restinio/all.hpp>
-#include <string_view>
+#include <tuple>
 #include <utility>
 
 #include "http_server/connection.hpp"
@@ -60,7 +60,9 @@
 
     bool is_open() const { return target_->is_open(); }
 
-    void cancel(asio::error_code& error) { target_->socket().cancel(error); }
+    void cancel(asio::error_code& error) {
+        std::ignore = target_->socket().cancel(error);
+    }
 
     void shutdown(asio::socket_base::shutdown_type /*what*/,
                   asio::error_code& /*error*/) {
@@ -129,13 +131,13 @@
     return nullptr;
 }
 
-struct restinio_traits
-    : restinio::traits_t<restinio::null_timer_manager_t, parser_error_logger,
-                         std::function<restinio::request_handling_status_t(
-                             restinio::request_handle_t)>,
-                         connection::strand_type, connection_socket> {
-    static constexpr bool use_connection_count_limiter = true;
-};
+// RESTinio's limit on connections stays off: each caller that resets its
+// connection before it is accepted costs it one place for good.
+using restinio_traits =
+    restinio::traits_t<restinio::null_timer_manager_t, parser_error_logger,
+                       std::function<restinio::request_handling_status_t(
+                           restinio::request_handle_t)>,
+                       connection::strand_type, connection_socket>;
 
 using connection_source = std::function<std::shared_ptr<connection>()>;
 
