Tell dispatchers which grants an announced count takes into account

Cause: a dispatcher treated every grant of the last 2 ms as not yet part of an announced count. A call that followed within that time looked as if the grant covered it, and its slot stayed idle until the next usage report. Ruled out: the announcement delay (announcements were sent at once, seen in a message trace) and slots (free in the state dump). Change: announcements and usage rows carry the id of the newest grant that had arrived; only later grants reduce the count.

--- a/src/accounting/usage_merge.cpp
+++ b/src/accounting/usage_merge.cpp
@@ -23,6 +23,7 @@
     if (added || sequence > known.sequence) {
         change.remainder = row.expected_remainder - known.remainder;
         change.waiting = row.waiting;
+        change.last_grant = row.last_grant;
         known.remainder = row.expected_remainder;
         known.sequence = sequence;
     }
--- a/src/accounting/usage_merge.hpp
+++ b/src/accounting/usage_merge.hpp
@@ -24,6 +24,7 @@
     double remainder = 0;  // Change of the sum of expected remainders.
     // Waiting calls at the host; empty when the report is older than another.
     std::optional<std::uint32_t> waiting;
+    std::uint64_t last_grant = 0;  // Belongs to `waiting`.
 };
 
 // Not thread-safe.
--- a/src/dispatch/announcer.cpp
+++ b/src/dispatch/announcer.cpp
@@ -100,9 +100,17 @@
     return announced == 0 && rank < queue.fan_out;
 }
 
+std::uint64_t announcer::last_grant(const queue_state& queue,
+                                    const base::host_id& host) {
+    const auto found = queue.seen.find(host);
+    return found == queue.seen.end() ? 0 : found->second.id;
+}
+
 void announcer::announce(const work_key& key, const base::host_id& host) {
     protocol::waiting_row row = count_(key);
-    queues_[key].announced[host] = row.waiting;
+    queue_state& queue = queues_[key];
+    queue.announced[host] = row.waiting;
+    row.last_grant = last_grant(queue, host);
     send_(host, protocol::work_announcement{.rows = {row}});
 }
 
@@ -130,9 +138,16 @@
     }
 }
 
-void announcer::granted(const work_key& key, const base::host_id& host) {
-    std::uint32_t& announced = queues_[key].announced[host];
+void announcer::granted(const work_key& key, const protocol::sender& dispatcher,
+                        std::uint64_t grant_id) {
+    queue_state& queue = queues_[key];
+    std::uint32_t& announced = queue.announced[dispatcher.host];
     announced -= std::min<std::uint32_t>(announced, 1);
+    seen_grant& seen = queue.seen[dispatcher.host];
+    // A dispatcher that restarted numbers its grants from the beginning.
+    seen = seen.incarnation == dispatcher.incarnation
+               ? seen_grant{seen.incarnation, std::max(seen.id, grant_id)}
+               : seen_grant{dispatcher.incarnation, grant_id};
 }
 
 void announcer::collect(
@@ -142,7 +157,7 @@
     if (service == by_service_.end()) {
         return;
     }
-    const protocol::waiting_row row = count_(key);
+    protocol::waiting_row row = count_(key);
     const auto& hosts = service->second;
     queue.fan_out =
         row.waiting == 0
@@ -155,6 +170,7 @@
         const bool included = rank < queue.fan_out || announced > 0;
         if (included && differs(announced, row.waiting)) {
             queue.announced[hosts[rank]] = row.waiting;
+            row.last_grant = last_grant(queue, hosts[rank]);
             out[hosts[rank]].rows.push_back(row);
         }
     }
@@ -190,8 +206,10 @@
             continue;
         }
         for (const base::host_id& host : service->second) {
-            queues_[key].announced[host] = row.waiting;
+            queue_state& queue = queues_[key];
+            queue.announced[host] = row.waiting;
             out[host].rows.push_back(row);
+            out[host].rows.back().last_grant = last_grant(queue, host);
         }
     }
     for (auto& [host, part] : out) {
--- a/src/dispatch/announcer.hpp
+++ b/src/dispatch/announcer.hpp
@@ -58,8 +58,9 @@
     // A queue's count changed. Sends what cannot wait.
     void changed(const accounting::work_key& key);
 
-    // The host granted one call of those it was told of.
-    void granted(const accounting::work_key& key, const base::host_id& host);
+    // A dispatcher granted one call of those it was told of.
+    void granted(const accounting::work_key& key,
+                 const protocol::sender& dispatcher, std::uint64_t grant_id);
 
     // Sends the changes that could wait and widens the fan-out.
     void flush();
@@ -69,13 +70,21 @@
     void send_usage(const protocol::usage_report& report);
 
 private:
+    // The newest grant that arrived from a dispatcher.
+    struct seen_grant {
+        std::uint64_t incarnation = 0;
+        std::uint64_t id = 0;
+    };
     struct queue_state {
         std::map<base::host_id, std::uint32_t> announced;
+        std::map<base::host_id, seen_grant> seen;
         std::size_t fan_out = 0;  // 0 while the queue is empty.
     };
 
     bool must_hear_now(const queue_state& queue, const base::host_id& host,
                        std::size_t rank, std::uint32_t waiting) const;
+    static std::uint64_t last_grant(const queue_state& queue,
+                                    const base::host_id& host);
     void announce(const accounting::work_key& key, const base::host_id& host);
     void collect(const accounting::work_key& key, queue_state& queue,
                  std::map<base::host_id, protocol::work_announcement>& out);
--- a/src/dispatch/demand_table.cpp
+++ b/src/dispatch/demand_table.cpp
@@ -12,17 +12,18 @@
     queue.grantable = grantable;
 }
 
-std::uint32_t demand_table::grants_in_flight(host_queue& queue,
+std::uint32_t demand_table::grants_under_way(host_queue& queue,
+                                             std::uint64_t last_grant,
                                              base::time_point now) const {
-    std::erase_if(queue.recent_grants, [&](base::time_point issued) {
-        return issued + in_flight_ <= now;
+    std::erase_if(queue.under_way, [&](const open_grant& grant) {
+        return grant.id <= last_grant || grant.issued + grant_lifetime_ <= now;
     });
-    return static_cast<std::uint32_t>(queue.recent_grants.size());
+    return static_cast<std::uint32_t>(queue.under_way.size());
 }
 
 bool demand_table::announce(const protocol::sender& from,
                             const accounting::work_key& key,
-                            std::uint32_t waiting,
+                            std::uint32_t waiting, std::uint64_t last_grant,
                             std::optional<base::time_point> oldest,
                             base::time_point now, bool in_order) {
     key_state& state = keys_[key];
@@ -36,8 +37,8 @@
     if (oldest || queue.waiting == 0) {
         queue.oldest = oldest.value_or(now);
     }
-    const std::uint32_t in_flight = grants_in_flight(queue, now);
-    set(state, queue, waiting, waiting - std::min(waiting, in_flight));
+    const std::uint32_t under_way = grants_under_way(queue, last_grant, now);
+    set(state, queue, waiting, waiting - std::min(waiting, under_way));
     return true;
 }
 
@@ -75,12 +76,15 @@
     }
     host_queue& queue = found->second.hosts.at(*best);
     set(found->second, queue, queue.waiting, queue.grantable - 1);
-    if (in_flight_ > base::duration::zero()) {
-        queue.recent_grants.push_back(now);
-    }
     return *best;
 }
 
+void demand_table::issued(const base::host_id& host,
+                          const accounting::work_key& key,
+                          std::uint64_t grant_id, base::time_point now) {
+    keys_[key].hosts[host].under_way.push_back({grant_id, now});
+}
+
 void demand_table::declined(const base::host_id& host,
                             const accounting::work_key& key) {
     const auto found = keys_.find(key);
--- a/src/dispatch/demand_table.hpp
+++ b/src/dispatch/demand_table.hpp
@@ -23,16 +23,23 @@
     using preference =
         std::function<base::duration(const base::host_id&, base::duration)>;
 
-    // `in_flight` is how long a grant may be under way: grants issued within
-    // it are not yet part of an announced count.
-    explicit demand_table(base::duration in_flight) : in_flight_(in_flight) {}
+    // `grant_lifetime` bounds how long a grant counts as under way when the
+    // host does not confirm it.
+    explicit demand_table(base::duration grant_lifetime)
+        : grant_lifetime_(grant_lifetime) {}
 
     // Sets the number of waiting calls at a host. A row older than one that
     // was applied is ignored. Without `oldest` the known age is kept. Returns
-    // whether the row was applied.
+    // whether the row was applied. `last_grant` is the newest grant that the
+    // count takes into account; later ones are still under way.
+    //
+    // A fixed time for a grant's way would be wrong in both directions: a call
+    // that is granted, run and followed by the next within it would look as if
+    // it were covered already, and its slot would stay idle.
     bool announce(const protocol::sender& from, const accounting::work_key& key,
-                  std::uint32_t waiting, std::optional<base::time_point> oldest,
-                  base::time_point now, bool in_order);
+                  std::uint32_t waiting, std::uint64_t last_grant,
+                  std::optional<base::time_point> oldest, base::time_point now,
+                  bool in_order);
 
     // Whether the organisation waits at any host.
     bool waiting(const accounting::work_key& key) const;
@@ -45,6 +52,10 @@
                                       base::time_point now,
                                       const preference& prefer);
 
+    // The call that was taken is covered by this grant.
+    void issued(const base::host_id& host, const accounting::work_key& key,
+                std::uint64_t grant_id, base::time_point now);
+
     // The host declined a grant: nothing is granted to it until it announces
     // again.
     void declined(const base::host_id& host, const accounting::work_key& key);
@@ -55,12 +66,16 @@
     std::size_t size() const { return keys_.size(); }
 
 private:
+    struct open_grant {
+        std::uint64_t id = 0;
+        base::time_point issued;
+    };
     struct host_queue {
         std::uint32_t waiting = 0;    // As announced.
         std::uint32_t grantable = 0;  // Less the grants since.
         base::time_point oldest;
         std::uint64_t sequence = 0;
-        std::vector<base::time_point> recent_grants;
+        std::vector<open_grant> under_way;
     };
     struct key_state {
         std::map<base::host_id, host_queue> hosts;
@@ -70,10 +85,10 @@
 
     void set(key_state& state, host_queue& queue, std::uint32_t waiting,
              std::uint32_t grantable);
-    std::uint32_t grants_in_flight(host_queue& queue,
+    std::uint32_t grants_under_way(host_queue& queue, std::uint64_t last_grant,
                                    base::time_point now) const;
 
-    base::duration in_flight_;
+    base::duration grant_lifetime_;
     std::map<accounting::work_key, key_state> keys_;
 };
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -76,7 +76,7 @@
           clock_(std::move(clock)),
           send_(std::move(send)),
           slots_(options_.host, options_.incarnation, options_.grant_lifetime),
-          demand_(options_.grant_round_trip),
+          demand_(options_.grant_lifetime),
           next_observation_(clock_.now()) {}
 
     void set_alarm_hook(alarm_hook alarm) { alarm_ = std::move(alarm); }
@@ -131,7 +131,8 @@
         for (const auto& row : announcement.rows) {
             const work_key key = key_of(row.service, row.organisation);
             const auto age = std::chrono::milliseconds(row.oldest_wait_ms);
-            demand_.announce(from, key, row.waiting, now - age, now, true);
+            demand_.announce(from, key, row.waiting, row.last_grant, now - age,
+                             now, true);
             sync_waiting(key);
             touched.insert(key.service);
         }
@@ -258,8 +259,9 @@
             add_remainder(change);
         }
         if (change.waiting && live_.contains(from.host)) {
-            demand_.announce(from, change.key, *change.waiting, std::nullopt,
-                             clock_.now(), false);
+            demand_.announce(from, change.key, *change.waiting,
+                             change.last_grant, std::nullopt, clock_.now(),
+                             false);
             sync_waiting(change.key);
         }
     }
@@ -463,6 +465,7 @@
              .units = units,
              .issued = now});
         services_[key.service].order.add_unreported(key.organisation, units);
+        demand_.issued(host, key, grant.grant_id, now);
         ++counters_.granted;
         send_(host, grant);
     }
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -62,12 +62,14 @@
     }
 
     void announce(const std::string& host, std::uint32_t organisation,
-                  std::uint32_t waiting, std::uint64_t age_ms = 0) {
+                  std::uint32_t waiting, std::uint64_t age_ms = 0,
+                  std::uint64_t last_grant = 0) {
         decide.on_announcement(from(host),
                                {.rows = {{.service = service.value(),
                                           .organisation = organisation,
                                           .waiting = waiting,
-                                          .oldest_wait_ms = age_ms}}});
+                                          .oldest_wait_ms = age_ms,
+                                          .last_grant = last_grant}}});
     }
 
     void report(const std::string& host, std::uint32_t organisation,
@@ -289,6 +291,24 @@
                       [](const auto& sent) { return sent.host == "c"; }));
 }
 
+// Guards against idle slots while calls wait: a call that follows a grant
+// within the grant's round trip was taken for the one that the grant covers.
+// The count of a host that has not seen the grant must still be reduced.
+TEST_CASE("a new call right after a grant is granted once the grant is seen") {
+    const auto [seen, granted] = GENERATE(table<bool, std::size_t>({
+        {true, 2},
+        {false, 1},
+    }));
+    fixture test;
+    test.serve_known(8);
+    test.announce("b", 1, 1);
+    REQUIRE(test.grants.size() == 1);
+
+    test.announce("b", 1, 1, 0, seen ? test.grants[0].grant.grant_id : 0);
+
+    CHECK(test.grants.size() == granted);
+}
+
 // Guards against new work on a replica that is being taken away.
 TEST_CASE("a leaving replica gets no new grants") {
     fixture f;
--- a/src/dispatch/entry_dispatch.cpp
+++ b/src/dispatch/entry_dispatch.cpp
@@ -193,7 +193,7 @@
         if (holds(used)) {
             return;
         }
-        announcer_.granted(key, from.host);
+        announcer_.granted(key, from, grant.grant_id);
         const auto id = acceptable(server) ? next_call(key, server)
                                            : std::optional<call_id>();
         if (!id) {
--- a/src/protocol/codec.cpp
+++ b/src/protocol/codec.cpp
@@ -75,7 +75,8 @@
                    make_field("t", &usage_row::served_total),
                    make_field("r", &usage_row::running),
                    make_field("e", &usage_row::expected_remainder),
-                   make_field("w", &usage_row::waiting));
+                   make_field("w", &usage_row::waiting),
+                   make_field("g", &usage_row::last_grant));
 };
 template <>
 struct fields_of<usage_report> {
@@ -89,7 +90,8 @@
         std::tuple(make_field("s", &waiting_row::service),
                    make_field("o", &waiting_row::organisation),
                    make_field("w", &waiting_row::waiting),
-                   make_field("a", &waiting_row::oldest_wait_ms));
+                   make_field("a", &waiting_row::oldest_wait_ms),
+                   make_field("g", &waiting_row::last_grant));
 };
 template <>
 struct fields_of<work_announcement> {
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -70,6 +70,9 @@
     std::uint32_t running = 0;      // Calls running now.
     double expected_remainder = 0;  // Cost units, sum over running calls.
     std::uint32_t waiting = 0;      // Calls waiting now.
+    // Highest id of the receiver's grants for this row that had arrived. Later
+    // grants are still under way and not part of `waiting`.
+    std::uint64_t last_grant = 0;
 };
 
 struct usage_report {
@@ -82,6 +85,7 @@
     std::uint32_t organisation = 0;
     std::uint32_t waiting = 0;
     std::uint64_t oldest_wait_ms = 0;  // Age of the oldest waiting call.
+    std::uint64_t last_grant = 0;      // As in usage_row.
 };
 
 struct work_announcement {
