--- a/src/backend_client/loop.cpp
+++ b/src/backend_client/loop.cpp
@@ -96,10 +96,8 @@
 }
 
 void client::loop::cancel(handle id) {
-    if (std::this_thread::get_id() == thread_.get_id()) {
-        if (transfer* call = find(id)) {
-            call->cancel();
-        }
+    if (transfer* call = find_in_place(id)) {
+        call->cancel();
     }
     // Removing a handle inside one of its own callbacks is not allowed, so
     // the removal always waits for the loop.
@@ -107,7 +105,11 @@
 }
 
 void client::loop::pause(handle id) {
-    post_or_run([this, id] {
+    if (transfer* call = find_in_place(id)) {
+        call->pause();
+        return;
+    }
+    post([this, id] {
         if (transfer* call = find(id)) {
             call->pause();
         }
@@ -142,14 +144,6 @@
     eventfd_write(wakeup_.get(), 1);
 }
 
-void client::loop::post_or_run(command task) {
-    if (std::this_thread::get_id() == thread_.get_id()) {
-        task();
-    } else {
-        post(std::move(task));
-    }
-}
-
 void client::loop::run_commands() {
     std::vector<command> ready;
     {
@@ -266,6 +260,11 @@
     }
 }
 
+// Finds nothing on other threads, and before the call has begun.
+transfer* client::loop::find_in_place(handle id) {
+    return std::this_thread::get_id() == thread_.get_id() ? find(id) : nullptr;
+}
+
 transfer* client::loop::find(handle id) {
     const auto found = transfers_.find(id);
     return found == transfers_.end() ? nullptr : found->second.get();
--- a/src/backend_client/loop.hpp
+++ b/src/backend_client/loop.hpp
@@ -59,7 +59,6 @@
 
     void run();
     void post(command task);
-    void post_or_run(command task);
     void run_commands();
     void wait_and_dispatch();
     int wait_milliseconds() const;
@@ -73,6 +72,7 @@
     void finish_cancelled(handle id);
     void cancel_all();
     transfer* find(handle id);
+    transfer* find_in_place(handle id);
 
     easy_ptr take_easy();
     void recycle(easy_ptr easy);
--- a/src/backend_client/transfer.cpp
+++ b/src/backend_client/transfer.cpp
@@ -102,6 +102,11 @@
     set(easy, CURLOPT_FOLLOWLOCATION, 0L);
     set(easy, CURLOPT_PROXY, "");
     set(easy, CURLOPT_NOSIGNAL, 1L);
+    // Lets the kernel notice a backend server whose host is gone during a long
+    // wait, after about two minutes.
+    set(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+    set(easy, CURLOPT_TCP_KEEPIDLE, 30L);
+    set(easy, CURLOPT_TCP_KEEPINTVL, 10L);
     set(easy, CURLOPT_CONNECTTIMEOUT_MS,
         static_cast<long>(request_.connect_timeout.count()));
     set(easy, CURLOPT_TIMEOUT_MS,
--- a/src/http_server/connection.cpp
+++ b/src/http_server/connection.cpp
@@ -1,6 +1,8 @@
 #include "http_server/connection.hpp"
 
+#include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <asio/bind_executor.hpp>
@@ -28,6 +30,22 @@
 constexpr int status_request_timeout = 408;
 constexpr int status_content_too_large = 413;
 
+// Lets the kernel notice a caller whose host or network is gone without a
+// word, after about a minute of silence.
+void enable_keep_alive(int descriptor) {
+    constexpr int enabled = 1;
+    constexpr int idle_seconds = 30;
+    constexpr int interval_seconds = 10;
+    constexpr int probes = 3;
+    const auto set = [descriptor](int level, int option, int value) {
+        setsockopt(descriptor, level, option, &value, sizeof(value));
+    };
+    set(SOL_SOCKET, SO_KEEPALIVE, enabled);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, idle_seconds);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, interval_seconds);
+    set(IPPROTO_TCP, TCP_KEEPCNT, probes);
+}
+
 bool peer_hung_up(int descriptor) {
     pollfd entry{descriptor, POLLRDHUP, 0};
     constexpr int hung_up = POLLRDHUP | POLLHUP | POLLERR;
@@ -46,6 +64,7 @@
       probe_timer_(*context_) {}
 
 void connection::accept(std::uint64_t id) {
+    enable_keep_alive(socket_.native_handle());
     registration_ = settings_->accepted(id, shared_from_this());
     if (!registration_) {
         close_from_outside();
