--- a/src/http_server/connection.cpp
+++ b/src/http_server/connection.cpp
@@ -21,6 +21,7 @@
 // the caller may lose the response.
 constexpr auto discard_time = std::chrono::seconds(2);
 constexpr std::size_t max_discarded_bytes = std::size_t{1024} * 1024;
+constexpr std::size_t discard_buffer_bytes = 4096;
 
 // A caller that sent more than its request (pipelining) keeps the socket
 // readable, so its departure is looked for at this interval.
@@ -180,12 +181,13 @@
     write_deadline_.reset();
     read_deadline_ = std::chrono::steady_clock::now() + discard_time;
     arm_timer();
+    discard_buffer_.resize(discard_buffer_bytes);
     discard_input();
 }
 
 void connection::discard_input() {
     socket_.async_read_some(
-        asio::buffer(discarded_),
+        asio::buffer(discard_buffer_),
         asio::bind_executor(
             strand_, [self = shared_from_this()](const asio::error_code& error,
                                                  std::size_t size) {
--- a/src/http_server/connection.hpp
+++ b/src/http_server/connection.hpp
@@ -7,7 +7,6 @@
 #ifndef BRONZEHUB_HTTP_SERVER_CONNECTION_HPP
 #define BRONZEHUB_HTTP_SERVER_CONNECTION_HPP
 
-#include <array>
 #include <asio/any_io_executor.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -19,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/clock.hpp"
 
@@ -142,7 +142,8 @@
     asio::steady_timer probe_timer_;
 
     std::string rejection_text_;
-    std::array<char, 2048> discarded_;
+    // Allocated when needed: idle connections are many.
+    std::vector<char> discard_buffer_;
     std::size_t discarded_bytes_ = 0;
 };
 
