--- a/src/http_server/connection.cpp
+++ b/src/http_server/connection.cpp
@@ -1,6 +1,8 @@
 #include "http_server/connection.hpp"
 
+#include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <asio/bind_executor.hpp>
@@ -19,6 +21,7 @@
 // the caller may lose the response.
 constexpr auto discard_time = std::chrono::seconds(2);
 constexpr std::size_t max_discarded_bytes = std::size_t{1024} * 1024;
+constexpr std::size_t discard_buffer_bytes = 4096;
 
 // A caller that sent more than its request (pipelining) keeps the socket
 // readable, so its departure is looked for at this interval.
@@ -28,6 +31,22 @@
 constexpr int status_request_timeout = 408;
 constexpr int status_content_too_large = 413;
 
+// Lets the kernel notice a caller whose host or network is gone without a
+// word, after about a minute of silence.
+void enable_keep_alive(int descriptor) {
+    constexpr int enabled = 1;
+    constexpr int idle_seconds = 30;
+    constexpr int interval_seconds = 10;
+    constexpr int probes = 3;
+    const auto set = [descriptor](int level, int option, int value) {
+        setsockopt(descriptor, level, option, &value, sizeof(value));
+    };
+    set(SOL_SOCKET, SO_KEEPALIVE, enabled);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, idle_seconds);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, interval_seconds);
+    set(IPPROTO_TCP, TCP_KEEPCNT, probes);
+}
+
 bool peer_hung_up(int descriptor) {
     pollfd entry{descriptor, POLLRDHUP, 0};
     constexpr int hung_up = POLLRDHUP | POLLHUP | POLLERR;
@@ -46,6 +65,7 @@
       probe_timer_(*context_) {}
 
 void connection::accept(std::uint64_t id) {
+    enable_keep_alive(socket_.native_handle());
     registration_ = settings_->accepted(id, shared_from_this());
     if (!registration_) {
         close_from_outside();
@@ -161,12 +181,13 @@
     write_deadline_.reset();
     read_deadline_ = std::chrono::steady_clock::now() + discard_time;
     arm_timer();
+    discard_buffer_.resize(discard_buffer_bytes);
     discard_input();
 }
 
 void connection::discard_input() {
     socket_.async_read_some(
-        asio::buffer(discarded_),
+        asio::buffer(discard_buffer_),
         asio::bind_executor(
             strand_, [self = shared_from_this()](const asio::error_code& error,
                                                  std::size_t size) {
