--- a/src/peer/connection.cpp
+++ b/src/peer/connection.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -142,7 +143,7 @@
 
 void connection::set_socket_options() {
     asio::error_code ignored;
-    socket_.set_option(tcp::no_delay(true), ignored);
+    std::ignore = socket_.set_option(tcp::no_delay(true), ignored);
     const auto timeout =
         static_cast<unsigned int>(options_->unacknowledged_timeout.count());
     ::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
@@ -225,7 +226,7 @@
     count_refusal(reason);
     handshake_timer_.cancel();
     asio::error_code ignored;
-    socket_.close(ignored);
+    std::ignore = socket_.close(ignored);
     asio::post(socket_.get_executor(), [self = shared_from_this(), reason] {
         self->hooks_.on_closed(self, reason);
         // The hooks may refer to the owner of this connection.
--- a/src/peer/send_queue.cpp
+++ b/src/peer/send_queue.cpp
@@ -45,7 +45,8 @@
     take(found ? report : entries_.begin());
 }
 
-send_queue::entry send_queue::take(std::deque<entry>::iterator position) {
+send_queue::entry send_queue::take(
+    const std::deque<entry>::iterator& position) {
     entry taken = std::move(*position);
     bytes_ -= taken.message.bytes->size();
     entries_.erase(position);
--- a/src/peer/send_queue.hpp
+++ b/src/peer/send_queue.hpp
@@ -54,7 +54,7 @@
     };
 
     void drop_for_room();
-    entry take(std::deque<entry>::iterator position);
+    entry take(const std::deque<entry>::iterator& position);
 
     queue_limits limits_;
     base::clock time_;
--- a/src/peer/transport.cpp
+++ b/src/peer/transport.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <asio.hpp>
 #include <map>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -120,15 +121,10 @@
             absl::StrCat("peer listener: \"", ip, "\" is not an IP address"));
     }
     const tcp::endpoint endpoint(address, port);
-    acceptor_.open(endpoint.protocol(), error);
-    if (!error) {
-        acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-        acceptor_.bind(endpoint, error);
-    }
-    if (!error) {
-        acceptor_.listen(tcp::acceptor::max_listen_connections, error);
-    }
-    if (error) {
+    if (acceptor_.open(endpoint.protocol(), error) ||
+        acceptor_.set_option(tcp::acceptor::reuse_address(true), error) ||
+        acceptor_.bind(endpoint, error) ||
+        acceptor_.listen(tcp::acceptor::max_listen_connections, error)) {
         return absl::UnavailableError(absl::StrCat(
             "peer listener: ", ip, ":", port, ": ", error.message()));
     }
@@ -180,7 +176,7 @@
 connection_hooks transport::impl::hooks_for(const base::host_id& host,
                                             const std::string& seed) {
     const auto guard = [weak = weak_from_this()](auto step) {
-        return [weak, step](auto&&... arguments) {
+        return [weak, step = std::move(step)](auto&&... arguments) {
             const std::shared_ptr<impl> self = weak.lock();
             if (self && !self->stopped_) {
                 step(*self, std::forward<decltype(arguments)>(arguments)...);
@@ -424,7 +420,7 @@
     };
     stopped_ = true;
     asio::error_code ignored;
-    acceptor_.close(ignored);
+    std::ignore = acceptor_.close(ignored);
     std::ranges::for_each(opening_, close);
     for (const auto& [host, each] : peers_) {
         std::ranges::for_each(each.connections, close);
--- a/src/peer/transport_test.cpp
+++ b/src/peer/transport_test.cpp
@@ -41,6 +41,7 @@
 
     std::vector<std::uint64_t> versions() const {
         std::vector<std::uint64_t> all;
+        all.reserve(received.size());
         for (const auto& each : received) {
             all.push_back(each.from.sequence);
         }
