Start a regained role afresh and allow for the largest running call

Change: a dispatcher without servers of a service forgets positions and baselines; the alarm's bound includes what the oldest held grant has consumed, by the weight of the organisation ahead.

--- a/bench/fairness/fleet.cpp
+++ b/bench/fairness/fleet.cpp
@@ -180,6 +180,7 @@
             .count_expected_remainder = design_.count_expected_remainder},
         events_.clock(), forward);
     std::vector<dispatch::organisation_weight> weights;
+    weights.reserve(weights_.size());
     for (std::size_t i = 0; i < weights_.size(); ++i) {
         weights.push_back({.service = service,
                            .organisation = organisation_number(i),
--- a/bench/fairness/gap_meter.cpp
+++ b/bench/fairness/gap_meter.cpp
@@ -1,12 +1,17 @@
 #include "gap_meter.hpp"
 
 #include <algorithm>
-#include <cmath>
+#include <limits>
 #include <numeric>
 #include <set>
 #include <utility>
 
 namespace bronzehub::bench {
+namespace {
+
+constexpr double infinity = std::numeric_limits<double>::infinity();
+
+}  // namespace
 
 gap_meter::gap_meter(std::vector<double> weights, double capacity)
     : weights_(std::move(weights)),
@@ -122,10 +127,10 @@
         // A pair counts from the later of its two moments, so the
         // organisations waiting by `start` are compared with those that
         // began at `start`.
-        double lowest = INFINITY;
-        double highest = -INFINITY;
-        double lowest_new = INFINITY;
-        double highest_new = -INFINITY;
+        double lowest = infinity;
+        double highest = -infinity;
+        double lowest_new = infinity;
+        double highest_new = -infinity;
         for (std::size_t i = 0; i < weights_.size(); ++i) {
             if (!waiting_since_[i] || *waiting_since_[i] > start) {
                 continue;
--- a/bench/fairness/slopes.cpp
+++ b/bench/fairness/slopes.cpp
@@ -150,6 +150,7 @@
 
     void connect() {
         std::vector<dispatch::live_host> hosts;
+        hosts.reserve(size_.hosts);
         for (std::size_t i = 0; i < size_.hosts; ++i) {
             hosts.push_back({"h" + std::to_string(i), "d0"});
         }
@@ -161,6 +162,7 @@
 
     std::vector<dispatch::dispatched_server> servers() const {
         std::vector<dispatch::dispatched_server> result;
+        result.reserve(size_.replicas);
         for (std::size_t i = 0; i < size_.replicas; ++i) {
             result.push_back({.id = base::backend_server_id(
                                   static_cast<std::uint32_t>(i + 1)),
--- a/src/accounting/usage_merge.cpp
+++ b/src/accounting/usage_merge.cpp
@@ -60,6 +60,15 @@
     host.sequence = std::max(host.sequence, from.sequence);
 }
 
+void usage_merge::forget_service(base::service_id service) {
+    for (auto& [name, host] : hosts_) {
+        std::erase_if(host.rows, [service](const auto& entry) {
+            return entry.first.service == service;
+        });
+        host.complete_seen = false;
+    }
+}
+
 void usage_merge::drop_running(const base::host_id& host,
                                const change_hook& changed) {
     const auto found = hosts_.find(host);
--- a/src/accounting/usage_merge.hpp
+++ b/src/accounting/usage_merge.hpp
@@ -42,6 +42,9 @@
     // that was only cut off reports the same incarnation again.
     void drop_running(const base::host_id& host, const change_hook& changed);
 
+    // Forgets what is known of a service: the next totals are baselines.
+    void forget_service(base::service_id service);
+
 private:
     struct row_state {
         double served_total = 0;
--- a/src/dispatch/announcer.cpp
+++ b/src/dispatch/announcer.cpp
@@ -65,8 +65,11 @@
         }
     }
     for (auto& [key, queue] : queues_) {
+        // A host that gained a role may have lost what it knew.
+        const auto service = found.find(key.service);
         std::erase_if(queue.announced, [&](const auto& entry) {
-            return !hosts_.contains(entry.first);
+            return gained.contains(entry.first) || service == found.end() ||
+                   !service->second.contains(entry.first);
         });
         dirty_.insert(key);
     }
--- a/src/dispatch/demand_table.cpp
+++ b/src/dispatch/demand_table.cpp
@@ -111,4 +111,15 @@
     return emptied;
 }
 
+std::vector<accounting::work_key> demand_table::keys(
+    base::service_id service) const {
+    std::vector<accounting::work_key> result;
+    for (const auto& [key, state] : keys_) {
+        if (key.service == service) {
+            result.push_back(key);
+        }
+    }
+    return result;
+}
+
 }  // namespace bronzehub::dispatch
--- a/src/dispatch/demand_table.hpp
+++ b/src/dispatch/demand_table.hpp
@@ -52,7 +52,8 @@
     // Forgets a host. Returns the keys that no host waits for any more.
     std::vector<accounting::work_key> drop_host(const base::host_id& host);
 
-    std::size_t size() const { return keys_.size(); }
+    // The keys of a service that were announced.
+    std::vector<accounting::work_key> keys(base::service_id service) const;
 
 private:
     struct host_queue {
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -11,7 +11,7 @@
 #include "accounting/cost_estimator.hpp"
 #include "accounting/usage_merge.hpp"
 #include "dispatch/demand_table.hpp"
-#include "dispatch/fair_order.hpp"
+#include "dispatch/dispatcher_state.hpp"
 #include "dispatch/slot_table.hpp"
 
 namespace bronzehub::dispatch {
@@ -20,47 +20,6 @@
 using accounting::work_key;
 using seconds = std::chrono::duration<double>;
 
-// A mean over about the last hundred calls.
-class decaying_mean {
-public:
-    void add(double value) {
-        weight_ = std::min(weight_ + 1, window);
-        value_ += (value - value_) / weight_;
-    }
-    bool empty() const { return weight_ == 0; }
-    double value() const { return value_; }
-
-private:
-    static constexpr double window = 100;
-    double weight_ = 0;
-    double value_ = 0;
-};
-
-// A grant whose cost no usage report shows yet.
-struct unreported_charge {
-    grant_key key;
-    work_key work;
-    double units = 0;
-    base::time_point issued;
-    bool ended = false;
-};
-
-struct service_state {
-    fair_order order;
-    std::uint32_t fleet_slots = 0;
-    decaying_mean call_seconds;
-    decaying_mean units_per_slot_second;
-    double largest_request = 0;
-    fairness_alarm alarm;
-};
-
-struct counters {
-    std::uint64_t granted = 0;
-    std::uint64_t unused = 0;
-    std::uint64_t reclaimed = 0;
-    std::uint64_t unknown_releases = 0;
-};
-
 work_key key_of(std::uint32_t service, std::uint32_t organisation) {
     return {.service = base::service_id(service),
             .organisation = base::organisation_id(organisation)};
@@ -83,6 +42,11 @@
 
     void set_backend_servers(std::span<const dispatched_server> servers) {
         slots_.set_servers(servers, clock_.now());
+        for (const auto& service : services_ | std::views::keys) {
+            if (!slots_.has_service(service)) {
+                forget_service(service);
+            }
+        }
         tick();
     }
 
@@ -236,6 +200,24 @@
         unreported_.erase(host);
     }
 
+    // Entry daemons report to the dispatchers of a service only. Without
+    // reports the positions go stale, and the totals that arrive when the
+    // role returns would count as service of that moment.
+    void forget_service(base::service_id id) {
+        service_state& service = services_[id];
+        service.order.reset();
+        service.alarm = {};
+        merge_.forget_service(id);
+        for (auto& charges : unreported_ | std::views::values) {
+            std::erase_if(charges, [id](const unreported_charge& charge) {
+                return charge.work.service == id;
+            });
+        }
+        for (const work_key& key : demand_.keys(id)) {
+            sync_waiting(key);
+        }
+    }
+
     void sync_waiting(const work_key& key) {
         services_[key.service].order.set_waiting(key.organisation,
                                                  demand_.waiting(key));
@@ -361,7 +343,7 @@
             }
             const alarm_context context{
                 .capacity = capacity(service),
-                .largest_request = service.largest_request,
+                .largest_request = largest_request(id, service),
                 .no_capacity = service.fleet_slots == 0,
                 .partitioned = partitioned_,
                 .stale_exchange = exchange_is_stale()};
@@ -373,6 +355,14 @@
         }
     }
 
+    // While the first long calls still run, none of their size has ended.
+    double largest_request(base::service_id id,
+                           const service_state& service) const {
+        const seconds held = slots_.longest_held(id, clock_.now());
+        return std::max(service.largest_request,
+                        held.count() * service.units_per_slot_second.value());
+    }
+
     // A live host that holds calls reports in every exchange.
     bool exchange_is_stale() const {
         const base::time_point oldest =
@@ -517,7 +507,7 @@
     alarm_hook alarm_;
     base::time_point next_observation_;
     bool partitioned_ = false;  // Since hosts were lost and until some return.
-    counters counters_;
+    dispatch_counters counters_;
     bool dispatching_ = false;
 };
 
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -334,6 +334,24 @@
     CHECK(served >= 45);
 }
 
+// Guards against totals that grew while nobody reported to this daemon being
+// charged to the organisation of the first report.
+TEST_CASE("a regained role starts with equal positions") {
+    fixture f;
+    f.serve_known(1);
+    f.report("b", 1, 0);
+    f.report("c", 2, 0);
+    f.decide.set_backend_servers({});
+    f.grants.clear();
+    f.report("b", 1, 90000);
+    f.serve_known(1);
+    f.report("b", 1, 90000);
+    f.report("c", 2, 90000);
+    REQUIRE(f.grants.size() == 1);
+    const auto positions = f.decide.dump()["services"][0]["organisations"];
+    CHECK(positions[0]["virtual_time"] == 0);
+}
+
 // Guards against fields that the state dump promises.
 TEST_CASE("the dump shows servers, positions and counters") {
     fixture f;
--- a/src/dispatch/fair_order.cpp
+++ b/src/dispatch/fair_order.cpp
@@ -31,6 +31,12 @@
     }
 }
 
+void fair_order::reset() {
+    states_.clear();
+    index_.clear();
+    waiting_.clear();
+}
+
 fair_order::state& fair_order::at(base::organisation_id organisation) {
     const auto [entry, added] =
         index_.try_emplace(organisation, states_.size());
--- a/src/dispatch/fair_order.hpp
+++ b/src/dispatch/fair_order.hpp
@@ -50,6 +50,9 @@
     // not positive are ignored.
     void set_weights(std::span<const weight_entry> weights);
 
+    // Forgets all positions; the weights stay.
+    void reset();
+
     // The bound of the clamp in cost units over weight.
     void set_debt(double debt) { debt_ = debt; }
 
--- a/src/dispatch/fairness_alarm.cpp
+++ b/src/dispatch/fairness_alarm.cpp
@@ -71,6 +71,7 @@
         if (known.lag < result.lowest) {
             result.lowest = known.lag;
             result.ahead = entry.organisation;
+            result.ahead_weight = entry.weight;
         }
         result.highest = std::max(result.highest, known.lag);
     }
@@ -112,7 +113,10 @@
     advance(usage, context.capacity);
     begin_waiting(usage, context.capacity);
     const extremes present = lags(usage);
-    const double allowed = bound + context.largest_request / context.capacity;
+    // A request counts more at an organisation of less than mean weight.
+    const double weight = std::min(1.0, present.ahead_weight);
+    const double allowed =
+        bound + context.largest_request / weight / context.capacity;
     for (const auto& entry : usage) {
         state& known = states_[entry.organisation];
         const double behind =
--- a/src/dispatch/fairness_alarm.hpp
+++ b/src/dispatch/fairness_alarm.hpp
@@ -38,8 +38,9 @@
 };
 
 struct alarm_context {
-    double capacity = 0;         // Cost units per second of the whole fleet.
-    double largest_request = 0;  // Cost units.
+    double capacity = 0;  // Cost units per second of the whole fleet.
+    // Cost units; the largest that has ended or still runs.
+    double largest_request = 0;
     bool no_capacity = false;
     bool partitioned = false;
     bool stale_exchange = false;
@@ -86,6 +87,7 @@
         double lowest = 0;
         double highest = 0;
         base::organisation_id ahead;
+        double ahead_weight = 1;
     };
 
     void advance(std::span<const organisation_usage> usage, double capacity);
--- a/src/dispatch/slot_table.cpp
+++ b/src/dispatch/slot_table.cpp
@@ -221,6 +221,19 @@
     return freed;
 }
 
+base::duration slot_table::longest_held(base::service_id service,
+                                        base::time_point now) const {
+    base::duration longest{};
+    for (const auto& host : hosts_ | std::views::values) {
+        for (const held_grant& grant : host.held | std::views::values) {
+            if (grant.work.service == service) {
+                longest = std::max(longest, now - grant.issued);
+            }
+        }
+    }
+    return longest;
+}
+
 bool slot_table::has_service(base::service_id service) const {
     return std::ranges::any_of(servers_, [service](const auto& entry) {
         return entry.second.service == service;
--- a/src/dispatch/slot_table.hpp
+++ b/src/dispatch/slot_table.hpp
@@ -92,6 +92,10 @@
 
     bool has_service(base::service_id service) const;
 
+    // How long the oldest grant of the service has been held. O(grants).
+    base::duration longest_held(base::service_id service,
+                                base::time_point now) const;
+
     struct server_state {
         base::backend_server_id id;
         base::service_id service;
