Learn each replica's slots and health from grants and releases

The dispatcher's slots follow replica_capacity: the estimate from observed unit times, ejection after consecutive failures and recovery by single probes.

--- a/src/daemon/fleet.cpp
+++ b/src/daemon/fleet.cpp
@@ -75,6 +75,7 @@
     : settings_(settings),
       clock_(clock),
       hooks_(std::move(hooks)),
+      slots_(clock),
       entry_(entry_options_of(settings), clock,
              {.send = hooks_.send,
               .start = hooks_.start,
@@ -82,6 +83,7 @@
       dispatcher_(
           dispatcher_options_of(settings, incarnation), clock,
           [this](const base::host_id& host, const protocol::slot_grant& grant) {
+              slots_.on_granted(grant);
               hooks_.send(host, grant);
           }),
       retries_({}, clock) {}
@@ -120,7 +122,7 @@
 
 void fleet::apply_routes() {
     std::vector<dispatch::dispatch_route> routes;
-    std::vector<dispatch::dispatched_server> own;
+    own_.clear();
     std::vector<base::backend_server_id> leaving;
     for (const auto& server : configuration_->value().backend_servers) {
         const bool leaves = is_leaving(server);
@@ -135,15 +137,27 @@
         routes.push_back(
             {server.id, server.service, chosen->host, server.failure_domain});
         if (chosen->host == settings_.host.name) {
-            own.push_back(
-                {server.id, server.service, server.initial_slots, leaves});
+            own_.push_back(&server);
         }
     }
     entry_.set_leaving(leaving);
-    dispatcher_.set_backend_servers(own);
+    slots_.set_servers(own_, *configuration_);
+    apply_slots();
     entry_.set_dispatchers(routes);
 }
 
+void fleet::apply_slots() {
+    std::vector<dispatch::dispatched_server> servers;
+    std::ranges::transform(own_, std::back_inserter(servers),
+                           [this](const configuration::backend_server* server) {
+                               return dispatch::dispatched_server{
+                                   server->id, server->service,
+                                   slots_.allowed(server->id),
+                                   is_leaving(*server)};
+                           });
+    dispatcher_.set_backend_servers(servers);
+}
+
 void fleet::on_host_list(std::span<const platform::listed_host> hosts) {
     if (!configuration_) {
         return;
@@ -193,6 +207,7 @@
         self.entry_.on_grant(from, content);
     }
     void operator()(const protocol::grant_release& content) const {
+        self.slots_.on_released(content);
         self.dispatcher_.on_release(from, content);
     }
     void operator()(const protocol::inventory& content) const {
@@ -217,6 +232,9 @@
         configuration_) {
         apply_routes();
     }
+    if (slots_.take_changed()) {
+        apply_slots();
+    }
     entry_.tick();
     dispatcher_.tick();
 }
@@ -225,6 +243,7 @@
     nlohmann::json result;
     result["entry"] = entry_.dump();
     result["dispatcher"] = dispatcher_.dump();
+    result["slots"] = slots_.dump();
     return result;
 }
 
--- a/src/daemon/fleet.hpp
+++ b/src/daemon/fleet.hpp
@@ -13,6 +13,7 @@
 #include "admission/retry_budget.hpp"
 #include "base/clock.hpp"
 #include "configuration/snapshot_holder.hpp"
+#include "daemon/replica_slots.hpp"
 #include "dispatch/dispatcher.hpp"
 #include "dispatch/entry_dispatch.hpp"
 #include "membership/rendezvous.hpp"
@@ -54,6 +55,17 @@
 
     void tick();
 
+    // A load report of a backend server that this daemon dispatches for.
+    void on_load(base::backend_server_id server,
+                 const capacity::load_report& report) {
+        slots_.on_load(server, report);
+    }
+
+    // The backend servers that this daemon dispatches for.
+    std::span<const configuration::backend_server* const> own_servers() const {
+        return own_;
+    }
+
     dispatch::entry_dispatch& entry() { return entry_; }
     admission::retry_budget& retries() { return retries_; }
 
@@ -64,6 +76,7 @@
 
     void apply();
     void apply_routes();
+    void apply_slots();
     void on_leaving_notice(const protocol::leaving_notice& notice);
     bool is_leaving(const configuration::backend_server& server) const;
 
@@ -74,6 +87,8 @@
     std::vector<membership::dispatch_host> hosts_;
     // Backend servers that are leaving, until when that is believed.
     std::map<base::backend_server_id, base::time_point> leaving_;
+    replica_slots slots_;
+    std::vector<const configuration::backend_server*> own_;
     dispatch::entry_dispatch entry_;
     dispatch::dispatcher dispatcher_;
     admission::retry_budget retries_;
