Make the server's port atomic

ThreadSanitizer found that reopening the listening socket writes it while port() reads it. No other race was reported in http_server_test and backend_client_test.

--- a/src/http_server/server.cpp
+++ b/src/http_server/server.cpp
@@ -355,7 +355,8 @@
     std::shared_ptr<std::atomic<std::size_t>> requests_ =
         std::make_shared<std::atomic<std::size_t>>(0);
     connection_registry registry_;
-    std::uint16_t port_ = 0;
+    // Written again when the listening socket is opened anew.
+    std::atomic<std::uint16_t> port_ = 0;
 
     asio::io_context accept_context_{1};
     std::unique_ptr<restinio_server> http_;
