--- a/src/http_server/connection.cpp
+++ b/src/http_server/connection.cpp
@@ -13,6 +13,8 @@
 #include <tuple>
 #include <utility>
 
+#include "http_server/expect_continue.hpp"
+
 namespace bronzehub::http_server {
 namespace {
 
@@ -85,17 +87,14 @@
 }
 
 asio::error_code connection::end_read(asio::error_code error,
-                                      std::size_t size) {
+                                      std::string_view received) {
     if (read_expired_) {
         return asio::error::timed_out;
     }
     end_of_input_ = error == asio::error::eof;
-    received_ += size;
-    if (size > 0 && phase_ == phase::idle) {
-        phase_ = phase::receiving;
-        read_deadline_ =
-            std::chrono::steady_clock::now() + settings_->read_timeout;
-        arm_timer();
+    received_ += received.size();
+    if (!received.empty() && phase_ == phase::idle) {
+        begin_request(received);
     }
     if (received_ > settings_->max_request_bytes) {
         too_large_ = true;
@@ -104,6 +103,19 @@
     return error;
 }
 
+void connection::begin_request(std::string_view received) {
+    phase_ = phase::receiving;
+    read_deadline_ = std::chrono::steady_clock::now() + settings_->read_timeout;
+    arm_timer();
+    if (expects_continue(received)) {
+        // No response is under way, so the line cannot land inside another,
+        // and it fits into the empty send buffer.
+        constexpr std::string_view line = "HTTP/1.1 100 Continue\r\n\r\n";
+        send(socket_.native_handle(), line.data(), line.size(),
+             MSG_DONTWAIT | MSG_NOSIGNAL);
+    }
+}
+
 void connection::begin_write() {
     write_deadline_ =
         std::chrono::steady_clock::now() + settings_->write_timeout;
--- a/src/http_server/connection.hpp
+++ b/src/http_server/connection.hpp
@@ -18,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/clock.hpp"
@@ -79,7 +80,8 @@
     // Around each read and write that RESTinio starts. `end_read` returns the
     // error that RESTinio is to see.
     void begin_read();
-    asio::error_code end_read(asio::error_code error, std::size_t size);
+    asio::error_code end_read(asio::error_code error,
+                              std::string_view received);
     void begin_write();
     void end_write(const asio::error_code& error);
 
@@ -108,6 +110,7 @@
     void reject(int status);
     void discard_input();
     void notify_observer();
+    void begin_request(std::string_view received);
 
     void watch_caller();
     void check_caller();
--- a/src/http_server/restinio_adapter.hpp
+++ b/src/http_server/restinio_adapter.hpp
@@ -72,15 +72,17 @@
     // `shutdown` came before and decided how the connection closes.
     void close() {}
 
-    template <class Buffers, class Handler>
-    void async_read_some(const Buffers& buffers, Handler&& handler) {
+    template <class Handler>
+    void async_read_some(const asio::mutable_buffer& buffer,
+                         Handler&& handler) {
         target_->begin_read();
         target_->socket().async_read_some(
-            buffers, wrap(std::forward<Handler>(handler),
-                          [](connection& target, asio::error_code error,
+            buffer, wrap(std::forward<Handler>(handler),
+                         [start = static_cast<const char*>(buffer.data())](
+                             connection& target, asio::error_code error,
                              std::size_t size) {
-                              return target.end_read(error, size);
-                          }));
+                             return target.end_read(error, {start, size});
+                         }));
     }
 
     template <class Buffers, class Handler>
--- a/src/http_server/server_test.cpp
+++ b/src/http_server/server_test.cpp
@@ -89,6 +89,18 @@
     CHECK_THAT(caller.read_until("\r\n\r\n"), Catch::Contains("/3"));
 }
 
+// Guards against callers that lose a second before each large body.
+TEST_CASE("a caller that expects 100 Continue gets it before its body") {
+    const auto echo = start({}, respond_whole);
+    auto caller = raw_socket::connect(echo->port());
+    caller.send(
+        "POST / HTTP/1.1\r\nexpect: 100-Continue\r\nContent-Length: 4\r\n"
+        "Connection: close\r\n\r\n");
+    CHECK(caller.read_until("\r\n\r\n") == "HTTP/1.1 100 Continue\r\n\r\n");
+    caller.send("ping");
+    CHECK_THAT(caller.read_all(), Catch::EndsWith("\r\n\r\nping"));
+}
+
 // Guards against RESTinio's upgrade path, which would hand the same request
 // out again after its response.
 TEST_CASE("a request that offers an upgrade is handled once") {
