--- a/src/peer/transport.cpp
+++ b/src/peer/transport.cpp
@@ -325,9 +325,14 @@
 void transport::impl::on_ready(const connection_ptr& ready,
                                const std::string& seed) {
     std::erase(opening_, ready);
+    counts_->connects.add();
     const base::host_id& host = ready->peer_host();
-    peer& owner = peer_of(host);
     const bool dialled = ready->role() == side::dialler;
+    if (dialled && seed.empty() && !peers_.contains(host)) {
+        ready->close(absl::CancelledError("peer connection: peer removed"));
+        return;
+    }
+    peer& owner = peer_of(host);
     if (!seed.empty()) {
         seeds_.erase(seed);
         owner.address = seed;
@@ -344,7 +349,6 @@
             each->close(absl::CancelledError("peer connection: replaced"));
         }
     }
-    counts_->connects.add();
     choose_sender(host);
     if (older.empty()) {
         hooks_.on_connect(host);
--- a/tests/standin/engine.cpp
+++ b/tests/standin/engine.cpp
@@ -97,7 +97,9 @@
 };
 
 engine::engine(engine_options options, after_hook after)
-    : options_(std::move(options)), after_(std::move(after)) {}
+    : options_(std::move(options)), after_(std::move(after)) {
+    load_changed();
+}
 
 engine::~engine() = default;
 
@@ -134,6 +136,7 @@
     out->on_closed([this, current] { cancel(current); });
     waiting_.push_back(current);
     start_next();
+    load_changed();
 }
 
 void engine::start_next() {
@@ -212,17 +215,27 @@
         --running_;
     }
     start_next();
+    load_changed();
 }
 
 void engine::load(const request& call, const response_ptr& out) {
     if (call.method == "PUT") {
         draining_ = json::parse(call.body).value("draining", draining_);
+        load_changed();
+    }
+    out->send(200, reported_load_.dump());
+}
+
+void engine::load_changed() {
+    json load{{"running", running_},
+              {"waiting", waiting_.size()},
+              {"slots", options_.slots},
+              {"draining", draining_}};
+    if (reported_load_.is_null() || options_.load_lag.count() == 0) {
+        reported_load_ = std::move(load);
+        return;
     }
-    out->send(200, json({{"running", running_},
-                         {"waiting", waiting_.size()},
-                         {"slots", options_.slots},
-                         {"draining", draining_}})
-                       .dump());
+    after_(options_.load_lag, [this, load] { reported_load_ = load; });
 }
 
 void engine::order(const request& call, const response_ptr& out) {
--- a/tests/standin/engine.hpp
+++ b/tests/standin/engine.hpp
@@ -22,6 +22,8 @@
     bool ignore_fencing = false;
     // Used when the request does not give `token_interval_ms`.
     std::chrono::milliseconds token_interval{0};
+    // /load reports the state of this long ago.
+    std::chrono::milliseconds load_lag{0};
 };
 
 // The token at `position` of the completion of `prompt`.
@@ -47,6 +49,8 @@
     void finish(const run_ptr& current);
     void cancel(const run_ptr& current);
     void leave(const run_ptr& current);
+    // Reports the present load after the lag.
+    void load_changed();
     void load(const request& call, const response_ptr& out);
     void order(const request& call, const response_ptr& out);
 
@@ -56,6 +60,7 @@
     std::uint32_t running_ = 0;
     std::uint64_t next_run_ = 1;
     bool draining_ = false;
+    nlohmann::json reported_load_;
     std::uint64_t highest_token_ = 0;
     std::uint64_t applied_token_ = 0;
     nlohmann::json applied_order_ = nlohmann::json::object();
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -19,7 +19,7 @@
 Usage:
   bronzehub-standin --role=ROLE --listen=ADDRESS [--name=NAME] [--slots=N]
                     [--token-interval-ms=MS] [--work-ms=MS]
-                    [--ignore-fencing]
+                    [--load-lag-ms=MS] [--ignore-fencing]
   bronzehub-standin --help
 
 Options:
@@ -29,6 +29,7 @@
   --name=NAME             Name in responses [default: standin].
   --slots=N               Runs that an engine batches [default: 16].
   --token-interval-ms=MS  Default time between tokens [default: 0].
+  --load-lag-ms=MS        Age of the load that an engine reports [default: 0].
   --work-ms=MS            Time that a plain call takes [default: 0].
   --ignore-fencing        The engine accepts any fencing token.
 )";
@@ -49,7 +50,8 @@
             engine_options{
                 name, static_cast<std::uint32_t>(given.at("--slots").asLong()),
                 given.at("--ignore-fencing").asBool(),
-                milliseconds_of(given, "--token-interval-ms")},
+                milliseconds_of(given, "--token-interval-ms"),
+                milliseconds_of(given, "--load-lag-ms")},
             after);
     }
     if (kind == "plain") {
--- a/tests/standin/standin_test.cpp
+++ b/tests/standin/standin_test.cpp
@@ -1,6 +1,8 @@
 #include "standin.hpp"
 
+#include <asio.hpp>
 #include <catch2/catch.hpp>
+#include <future>
 #include <thread>
 
 #include "engine.hpp"
@@ -147,11 +149,26 @@
     CHECK(at.call("GET", "/table/t/a%2Fb")->status == 404);
 }
 
-// Guards against a server that cannot be stopped or binds another port.
-TEST_CASE("the server listens on a free port until it is stopped") {
-    http_server server("127.0.0.1", 0, [](const auto&, const auto&) {});
-    CHECK(server.port() != 0);
+// Guards against a server that does not read while it streams, and so does
+// not notice that the client has gone.
+TEST_CASE("the server reports a client that closes during a stream") {
+    std::promise<void> closed;
+    http_server server("127.0.0.1", 0,
+                       [&closed](const auto&, const response_ptr& out) {
+                           out->on_closed([&closed] { closed.set_value(); });
+                           out->start_stream();
+                       });
     std::thread runner([&server] { server.run(); });
+    asio::io_context context;
+    asio::ip::tcp::socket client(context);
+    client.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+    asio::write(client,
+                asio::buffer(std::string_view("GET / HTTP/1.1\r\n\r\n")));
+    asio::streambuf head;
+    asio::read_until(client, head, "\r\n\r\n");
+    client.close();
+    CHECK(closed.get_future().wait_for(std::chrono::seconds(30)) ==
+          std::future_status::ready);
     server.stop();
     runner.join();
 }
