--- a/src/peer/transport_test.cpp
+++ b/src/peer/transport_test.cpp
@@ -266,6 +266,27 @@
     CHECK(run_until(context, [&] { return b.received.size() == 1; }));
 }
 
+// Guards against a host that left the fleet and is still dialled or served.
+TEST_CASE("a removed peer is disconnected and its messages are dropped") {
+    const bool connected = GENERATE(true, false);
+    asio::io_context context;
+    node a(context, named("a"));
+    node b(context, named("b"));
+    a.peers.set_peer("b", b.address());
+    a.send("b", 1);
+    REQUIRE((!connected ||
+             run_until(context, [&] { return a.connects["b"] == 1; })));
+
+    a.peers.remove_peer("b");
+    a.send("b", 2);
+
+    const counters& counts = a.peers.counts();
+    REQUIRE(
+        run_until(context, [&] { return counts.disconnects.value() == 1; }));
+    CHECK(counts.dropped_unknown_host.value() == 1);
+    CHECK(counts.connects.value() == 1);
+}
+
 // Guards against a daemon that speaks for another one.
 TEST_CASE("a message in the name of another host is dropped") {
     asio::io_context context;
