--- a/src/platform_http/transfers.cpp
+++ b/src/platform_http/transfers.cpp
@@ -14,8 +14,10 @@
 using easy_ptr = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
 using list_ptr = std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
 
-// Upper bound on how late a queued call notices that its time is over.
-constexpr int poll_milliseconds = 100;
+// Upper bound on how late a queued call notices that its time is over. An
+// idle thread is only woken by `submit` and the destructor.
+constexpr int busy_poll_milliseconds = 100;
+constexpr int idle_poll_milliseconds = 60'000;
 
 http_reply failed(transfer_result result, std::string error) {
     return {result, 0, {}, std::move(error)};
@@ -91,7 +93,10 @@
             curl_multi_perform(multi_, &running);
             collect();
             if (!can_start()) {
-                curl_multi_poll(multi_, nullptr, 0, poll_milliseconds, nullptr);
+                curl_multi_poll(multi_, nullptr, 0,
+                                active_.empty() ? idle_poll_milliseconds
+                                                : busy_poll_milliseconds,
+                                nullptr);
             }
         }
         abandon();
