--- a/tests/standin/standin_test.cpp
+++ b/tests/standin/standin_test.cpp
@@ -162,8 +162,8 @@
     asio::io_context context;
     asio::ip::tcp::socket client(context);
     client.connect({asio::ip::make_address("127.0.0.1"), server.port()});
-    asio::write(client,
-                asio::buffer(std::string_view("GET / HTTP/1.1\r\n\r\n")));
+    constexpr std::string_view head_bytes = "GET / HTTP/1.1\r\n\r\n";
+    asio::write(client, asio::buffer(head_bytes.data(), head_bytes.size()));
     asio::streambuf head;
     asio::read_until(client, head, "\r\n\r\n");
     client.close();
