Grant nothing further to a silent entry daemon

Until membership declares the daemon dead, dispatchers keep granting to it; its organisations even come first, because they are no longer served, and each lost grant occupies a slot. Change: a host that has not sent anything for an exchange and 100 ms since a grant gets no further grants until it announces or reports.

--- a/bench/fairness/fleet.cpp
+++ b/bench/fairness/fleet.cpp
@@ -175,6 +175,7 @@
             .host = host_name(index),
             .failure_domain = domain,
             .incarnation = state->incarnation,
+            .exchange_interval = to_duration(design_.exchange),
             .grant_ahead = design_.grant_ahead,
             .merge_usage_reports = design_.merge_usage_reports,
             .count_expected_remainder = design_.count_expected_remainder},
--- a/src/dispatch/demand_table.cpp
+++ b/src/dispatch/demand_table.cpp
@@ -93,6 +93,12 @@
     }
 }
 
+void demand_table::suspend_host(const base::host_id& host) {
+    for (const auto& entry : keys_) {
+        declined(host, entry.first);
+    }
+}
+
 std::vector<accounting::work_key> demand_table::drop_host(
     const base::host_id& host) {
     std::vector<accounting::work_key> emptied;
--- a/src/dispatch/demand_table.hpp
+++ b/src/dispatch/demand_table.hpp
@@ -49,6 +49,9 @@
     // again.
     void declined(const base::host_id& host, const accounting::work_key& key);
 
+    // Nothing is granted to the host before it announces or reports again.
+    void suspend_host(const base::host_id& host);
+
     // Forgets a host. Returns the keys that no host waits for any more.
     std::vector<accounting::work_key> drop_host(const base::host_id& host);
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -20,6 +20,9 @@
 using accounting::work_key;
 using seconds = std::chrono::duration<double>;
 
+// Tick of the sender, delay of the network and tick of the receiver.
+constexpr auto report_margin = std::chrono::milliseconds(100);
+
 work_key key_of(std::uint32_t service, std::uint32_t organisation) {
     return {.service = base::service_id(service),
             .organisation = base::organisation_id(organisation)};
@@ -152,6 +155,7 @@
     }
 
     void tick() {
+        suspend_silent_hosts();
         for (const auto& service : services_ | std::views::keys) {
             dispatch(service);
         }
@@ -183,9 +187,26 @@
             forget_host(from.host);
             counters_.reclaimed += slots_.drop_host(from.host).size();
         }
+        unanswered_since_.erase(from.host);
         return from.incarnation == known->second;
     }
 
+    // A daemon that received a grant reports in the next exchange at the
+    // latest. Grants to a dead one would occupy slots until membership
+    // declares it dead, and its organisations would come first, because they
+    // are not served.
+    void suspend_silent_hosts() {
+        const base::time_point limit =
+            clock_.now() - options_.exchange_interval - report_margin;
+        std::erase_if(unanswered_since_, [&](const auto& entry) {
+            if (entry.second > limit) {
+                return false;
+            }
+            demand_.suspend_host(entry.first);
+            return true;
+        });
+    }
+
     void forget_host(const base::host_id& host) {
         for (const work_key& key : demand_.drop_host(host)) {
             sync_waiting(key);
@@ -457,6 +478,7 @@
              .issued = now});
         services_[key.service].order.add_unreported(key.organisation, units);
         ++counters_.granted;
+        unanswered_since_.try_emplace(host, now);
         send_(host, grant);
     }
 
@@ -506,6 +528,8 @@
     std::map<base::host_id, std::uint64_t> incarnations_;
     std::map<base::host_id, base::failure_domain_id> live_;
     std::map<base::host_id, base::time_point> last_report_;
+    // When a host received the first grant since its last message.
+    std::map<base::host_id, base::time_point> unanswered_since_;
     std::set<base::service_id> pending_;
     alarm_hook alarm_;
     base::time_point next_observation_;
--- a/src/dispatch/dispatcher_test.cpp
+++ b/src/dispatch/dispatcher_test.cpp
@@ -352,6 +352,23 @@
     CHECK(positions[0]["virtual_time"] == 0);
 }
 
+// Guards against slots lost to grants that a dead entry daemon never uses.
+TEST_CASE("a silent entry daemon gets no further grants") {
+    fixture f;
+    f.serve_known(1);
+    f.announce("b", 1, 9);
+    f.announce("c", 1, 9);
+    REQUIRE(f.grants.back().host == "b");
+    f.time.advance(milliseconds(700));
+    f.decide.tick();
+    f.serve(3);
+    REQUIRE(f.grants.size() == 3);
+    CHECK(f.grants[1].host == "c");
+    f.announce("b", 1, 9);
+    f.serve(4);
+    CHECK(f.grants.back().host == "b");
+}
+
 // Guards against fields that the state dump promises.
 TEST_CASE("the dump shows servers, positions and counters") {
     fixture f;
