Expose metrics and fairness alarms; delay refusals after a drain begins

A draining host is not ready at once and refuses new calls only after not_ready_delay, so that the balancer sees the change first.

--- a/src/calls/call_manager.cpp
+++ b/src/calls/call_manager.cpp
@@ -386,6 +386,7 @@
     end.first_byte = result.first_byte;
     end.total = result.total;
     schedule_.finished(target.id, end);
+    schedule_.measured(target.request.service, end.first_byte, end.total);
 }
 
 void call_manager::refuse(call_id id, const refusal& why) {
--- a/src/calls/call_manager.hpp
+++ b/src/calls/call_manager.hpp
@@ -80,6 +80,10 @@
     std::function<void(call_id, double)> progress;
     std::function<void(call_id, const dispatch::finished_call&)> finished;
     std::function<void(call_id)> returned;
+    // A call of the service ended; times count from its start.
+    std::function<void(base::service_id, base::duration first_byte,
+                       base::duration total)>
+        measured;
     // Whether the retry budget of the organisation and service allows one more
     // attempt; spends it when it does.
     std::function<bool(base::organisation_id, base::service_id)> take_retry;
--- a/src/calls/call_manager_test.cpp
+++ b/src/calls/call_manager_test.cpp
@@ -128,6 +128,7 @@
                     finished_.push_back(end);
                 },
             .returned = [this](call_id id) { waiting_.push_front(id); },
+            .measured = [](auto, auto, auto) {},
             .take_retry =
                 [this](auto, auto) {
                     if (retry_budget_ == 0) {
--- a/src/daemon/decision_loop.cpp
+++ b/src/daemon/decision_loop.cpp
@@ -2,6 +2,7 @@
 
 #include <asio/post.hpp>
 #include <future>
+#include <memory>
 #include <utility>
 
 #include "configuration/snapshot_holder.hpp"
@@ -34,6 +35,17 @@
     arm(periodics_.back());
 }
 
+void decision_loop::after(std::chrono::milliseconds delay,
+                          std::function<void()> task) {
+    const auto timer = std::make_shared<asio::steady_timer>(context_, delay);
+    timer->async_wait(
+        [timer, task = std::move(task)](const asio::error_code& error) {
+            if (!error) {
+                task();
+            }
+        });
+}
+
 void decision_loop::arm(periodic& entry) {
     entry.timer.expires_after(entry.period);
     entry.timer.async_wait([this, &entry](const asio::error_code& error) {
--- a/src/daemon/decision_loop.hpp
+++ b/src/daemon/decision_loop.hpp
@@ -36,6 +36,9 @@
     // decision thread.
     void every(std::chrono::milliseconds period, std::function<void()> task);
 
+    // Runs `task` once after `delay`. Call it on the decision thread.
+    void after(std::chrono::milliseconds delay, std::function<void()> task);
+
     void start();
     void stop();
 
--- a/src/daemon/fleet.cpp
+++ b/src/daemon/fleet.cpp
@@ -86,7 +86,9 @@
               slots_.on_granted(grant);
               hooks_.send(host, grant);
           }),
-      retries_({}, clock) {}
+      retries_({}, clock) {
+    dispatcher_.set_alarm_hook(hooks_.alarm);
+}
 
 void fleet::on_configuration(const configuration::snapshot_pointer& next) {
     configuration_ = next;
--- a/src/daemon/fleet.hpp
+++ b/src/daemon/fleet.hpp
@@ -28,6 +28,9 @@
     std::function<void(dispatch::call_id, base::backend_server_id)> start;
     // A waiting call will not run.
     std::function<void(dispatch::call_id, const base::refusal&)> refuse;
+    // A fairness alarm of a service began or ended.
+    std::function<void(base::service_id, const dispatch::fairness_event&)>
+        alarm;
     // Sends to a host, which may be this one; delivered later.
     std::function<void(const base::host_id&, protocol::body)> send;
     // Sends to every other live host.
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -17,6 +17,7 @@
 #include "daemon/callers_api.hpp"
 #include "daemon/claim_link.hpp"
 #include "daemon/control_plane.hpp"
+#include "daemon/daemon_metrics.hpp"
 #include "daemon/decision_loop.hpp"
 #include "daemon/endpoint.hpp"
 #include "daemon/fleet.hpp"
@@ -131,7 +132,10 @@
         };
     }
     std::string address_of(base::backend_server_id id) const;
+    void on_alarm(base::service_id service,
+                  const dispatch::fairness_event& event);
     std::string not_ready_cause();
+    std::string metrics_text();
     nlohmann::json status();
     nlohmann::json dump();
 
@@ -149,6 +153,8 @@
     control_plane control_;
     claim_link claim_link_;
     calls::call_manager manager_;
+    daemon_metrics metrics_;
+    std::int64_t alarms_ = 0;  // Fairness alarms that last.
     std::function<void()> drained_;
     // Thread-safe.
     callers_api callers_;
@@ -367,6 +373,11 @@
         .refuse = [this](
                       dispatch::call_id id,
                       const base::refusal& why) { manager_.refuse(id, why); },
+        .alarm =
+            [this](base::service_id service,
+                   const dispatch::fairness_event& event) {
+                on_alarm(service, event);
+            },
         .send = [this](
                     const base::host_id& host,
                     protocol::body content) { send(host, std::move(content)); },
@@ -377,6 +388,19 @@
     };
 }
 
+void node::implementation::on_alarm(base::service_id service,
+                                    const dispatch::fairness_event& event) {
+    const bool begins = event.begins;
+    alarms_ += begins ? 1 : -1;
+    log_.write(begins ? logging::level::warning : logging::level::info,
+               begins ? "fairness alarm" : "fairness alarm cleared",
+               {logging::field("service", service),
+                logging::field("organisation", event.organisation),
+                logging::field("cause", dispatch::to_string(event.cause)),
+                logging::field("behind_s", event.behind),
+                logging::field("ahead", event.ahead)});
+}
+
 calls::schedule_hooks node::implementation::schedule_hooks() {
     return {
         .submit =
@@ -393,6 +417,11 @@
             },
         .returned =
             [this](dispatch::call_id id) { fleet_.entry().returned(id); },
+        .measured =
+            [this](base::service_id service, base::duration first_byte,
+                   base::duration total) {
+                metrics_.record(service, first_byte, total);
+            },
         .take_retry =
             [this](base::organisation_id organisation,
                    base::service_id service) {
@@ -448,7 +477,7 @@
 operators_hooks node::implementation::make_operators_hooks() {
     return {
         .not_ready_cause = [this] { return not_ready_cause(); },
-        .metrics_text = [] { return std::string(); },
+        .metrics_text = [this] { return metrics_text(); },
         .status = [this] { return status(); },
         .dump = [this] { return dump(); },
         .drain = [this] { drain([] {}); },
@@ -479,6 +508,21 @@
     return "no configuration; " + cause;
 }
 
+std::string node::implementation::metrics_text() {
+    loop_.run_and_wait([this] {
+        metrics_.refresh({.calls = manager_,
+                          .entry = fleet_.entry(),
+                          .claims = control_.claims(),
+                          .sync = control_.sync(),
+                          .peers = peers_.counts(),
+                          .log = log_,
+                          .refused_early = callers_.refused(),
+                          .live_hosts = peers_.hosts().size(),
+                          .fairness_alarms = alarms_});
+    });
+    return metrics_.text();
+}
+
 nlohmann::json node::implementation::status() {
     nlohmann::json result;
     result["host"] = settings_.host.name;
@@ -502,10 +546,12 @@
 
 void node::implementation::drain(std::function<void()> drained) {
     draining_.store(true);
-    callers_.set_draining();
     loop_.post([this, drained = std::move(drained)] {
         peers_.leave();
-        drained_ = drained;
+        loop_.after(settings_.drain.not_ready_delay, [this, drained] {
+            callers_.set_draining();
+            drained_ = drained;
+        });
     });
     log_.info("draining", {});
 }
