--- a/tests/support/fake_platform.hpp
+++ b/tests/support/fake_platform.hpp
@@ -17,6 +17,7 @@
     unavailable,  // Not applied, and the caller is told so.
     answer_lost,  // Applied, but the caller is told kUnknown.
     write_lost,   // Not applied; the caller is told kUnknown.
+    write_late,   // As before, but the write is held and arrives later.
     stale,        // A read sees the rows before their last write.
 };
 
@@ -105,10 +106,15 @@
     void add(bool is_write, std::string table, std::string key,
              platform::callback<T> done, Effect effect) {
         operation added{is_write, std::move(table), std::move(key), {}};
-        added.deliver = [is_write, done, effect](delivery how) {
-            if (how == delivery::unavailable ||
-                (!is_write && how != delivery::good &&
-                 how != delivery::stale)) {
+        added.deliver = [this, is_write, done, effect](delivery how) {
+            if (how == delivery::write_late && is_write) {
+                held.push_back({true, "late", "", [effect](delivery) {
+                                    static_cast<void>(effect(delivery::good));
+                                }});
+                done(absl::UnknownError("answer lost"));
+            } else if (how == delivery::unavailable ||
+                       (!is_write && how != delivery::good &&
+                        how != delivery::stale)) {
                 done(absl::UnavailableError("platform unavailable"));
             } else if (how == delivery::write_lost) {
                 done(absl::UnknownError("answer lost"));
