--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <tuple>
 
 namespace bronzehub::planning {
 namespace {
@@ -121,9 +122,10 @@
                                           find_organisation(after, ids.second)),
                                   share.first, share.second});
     }
-    std::ranges::stable_sort(
-        effects.shares, std::ranges::greater{},
-        [](const share_effect& each) { return std::abs(each.to - each.from); });
+    std::ranges::sort(effects.shares, {}, [](const share_effect& each) {
+        return std::tuple(-std::abs(each.to - each.from), each.service,
+                          each.organisation);
+    });
     if (effects.shares.size() > largest_share_list) {
         effects.shares_omitted = effects.shares.size() - largest_share_list;
         effects.shares.resize(largest_share_list);
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -384,15 +384,14 @@
     }
     timers_.schedule(time_.now() + limits_.settle_delay, [this, job] {
         load_head([this, job](const absl::StatusOr<stored_head>& head) {
-            if (!head.ok()) {
-                settle(job);
-            } else if (head->content.version == job->content.base_version) {
+            const std::uint64_t base = job->content.base_version;
+            if (head.ok() && head->content.version == base) {
                 job->head = *head;
                 commit(job);
-            } else if (head->content.version < job->content.base_version) {
-                settle(job);
-            } else {
+            } else if (head.ok() && head->content.version > base) {
                 start(job);
+            } else {
+                settle(job);
             }
         });
     });
@@ -436,6 +435,10 @@
         finish_applied(job, !job->may_be_applied);
     } else if (changes.empty() && job->may_be_applied) {
         settle_later(job);
+    } else if (changes.empty()) {
+        job->done(absl::UnavailableError(
+            "version " + std::to_string(head_version) +
+            " is in force, and what it changed could not be read"));
     } else {
         job->done(absl::AbortedError(
             describe_moved(job->content, head_version, changes)));
