Ask the other side of a healed partition regardless of comparisons

Cause: comparisons of views shared the rate limit of views of the other side, so a daemon that compared each second never asked for one and revived the other side member by member, one probe a period. Ruled out: lost objections; the members were alive at the incarnation that was held dead.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -97,11 +97,12 @@
         return;
     }
     const bool may_ask =
-        !last_view_request_ ||
-        time_.now() - *last_view_request_ >= options_.view_interval;
+        !last_healed_request_ ||
+        time_.now() - *last_healed_request_ >= options_.view_interval;
     // Contact with a member that was held dead means that a partition healed:
     // its view tells which members of its side are alive.
     if (was_dead && may_ask) {
+        last_healed_request_ = time_.now();
         request_view({host, sender->address}, claim_source::healed_view);
     }
     // It is alive, so it gets the chance to object before the suspicion ends.
@@ -174,7 +175,6 @@
 
 void membership::request_view(const peer_address& from, claim_source trust) {
     ++counters_.views_requested;
-    last_view_request_ = time_.now();
     // Unanswered requests are few: requests are limited in rate, and hosts
     // that never answer make them the only entries.
     constexpr std::size_t most_open_requests = 64;
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -72,7 +72,8 @@
     // Longer than news circulates; a host that comes back later is found
     // through the seeds and the host list.
     base::duration dead_retention = std::chrono::hours(1);
-    // Views are about 65 bytes a member, so they are not asked for more often.
+    // Views of the other side of a healed partition are not asked for more
+    // often. Comparisons do not count: they do not revive a member.
     base::duration view_interval = std::chrono::seconds(2);
     // Time to the next comparison with a random member's view: the shortest
     // after a view that taught something, doubling up to the longest. A member
@@ -239,7 +240,7 @@
     std::map<std::uint64_t, relayed_probe> relayed_;
     std::map<std::uint64_t, claim_source> requested_views_;
     std::optional<base::time_point> refresh_until_;
-    std::optional<base::time_point> last_view_request_;
+    std::optional<base::time_point> last_healed_request_;
     double dead_probe_credit_ = 0;
     base::host_id last_dead_probed_;
     std::vector<peer_address> candidates_;  // Seeds and listed hosts.
--- a/src/membership/membership_test.cpp
+++ b/src/membership/membership_test.cpp
@@ -84,6 +84,23 @@
     });
 }
 
+// Guards against comparisons of views that keep a daemon from asking the other
+// side of a healed partition for its view. Took 10.55 s before.
+TEST_CASE("comparisons do not delay the view of the other side") {
+    fake_network network({.hosts = 38, .seed = 98695875795881499U});
+    network.start_all();
+    network.run_for(seconds(5));
+    network.is_cut = [](std::size_t from, std::size_t to) {
+        return (from < 8) != (to < 8);
+    };
+    network.loss = 0.05;
+    network.run_for(seconds(41));
+    network.is_cut = [](auto, auto) { return false; };
+    network.loss = 0;
+
+    CHECK(network.settle(seconds(20)) <= seconds(5));
+}
+
 // Guards against suspicions under loss that end before the member can object.
 TEST_CASE("a lossy network keeps its members") {
     fake_network network({.hosts = 30});
