--- a/tests/golden/golden_test.cpp
+++ b/tests/golden/golden_test.cpp
@@ -65,11 +65,35 @@
     }
 }
 
-// Guards against changes of the callers' interface that no one intended:
-// status codes, outcomes, bodies of refusals, replays of keyed calls.
-TEST_CASE("callers get the recorded responses") {
+// Guards against unintended changes of what a caller receives: headers,
+// streams, and a keyed call that runs again instead of being replayed.
+TEST_CASE("callers receive the recorded responses") {
     play_session("callers");
 }
 
+// Guards against changed codes of refusals, and against a refused call that
+// reaches a backend server although the response says not-run.
+TEST_CASE("refused callers receive the recorded responses") {
+    play_session("caller_refusals");
+}
+
+// Guards against renamed fields and metrics, digests in lists, and resources
+// that answer without the role that they need.
+TEST_CASE("operators receive the recorded responses") {
+    play_session("operators");
+}
+
+// Guards against a plan that is applied twice or on a version that it was not
+// made for.
+TEST_CASE("plans take the recorded course") {
+    play_session("plans");
+}
+
+// Guards against a keyed call that runs unclaimed while the platform refuses,
+// or twice after it returns.
+TEST_CASE("a refusing platform leads to the recorded responses") {
+    play_session("platform_faults");
+}
+
 }  // namespace
 }  // namespace bronzehub::golden
--- a/tests/golden/local_fleet.cpp
+++ b/tests/golden/local_fleet.cpp
@@ -1,6 +1,7 @@
 #include "local_fleet.hpp"
 
 #include <array>
+#include <iostream>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -63,6 +64,12 @@
     return result;
 }
 
+// log4cplus can be initialised once per process only, and every session has a
+// logger of its own.
+void write_line(logging::level /*severity*/, std::string_view line) {
+    std::cerr << std::string(line) + "\n";
+}
+
 bool is_ready(std::uint16_t operators_port) {
     return exchange(operators_port, {"GET", "/ready", {}, ""})
         .status.starts_with("200");
@@ -99,7 +106,7 @@
       ports_{{"platform", platform_.port()},
              {"engine", engine_.port()},
              {"plain", plain_.port()}},
-      log_({logging::level::error, {}}, logging::standard_error()) {
+      log_({logging::level::error, {}}, write_line) {
     start_node();
     wait_until("/ready", [this] { return is_ready(ports_.at("operators")); });
 }
@@ -138,11 +145,14 @@
         {"path_prefix", "/till"},
         {"costs", {{"per_call", 1}}},
         {"repeatable_calls", {{{"method", "GET"}, {"path", "/prices/*"}}}}};
+    json north = organisation(1, "north");
+    north["keys"].push_back({{"id", "old"},
+                             {"sha256", base::sha256_hex("revoked-key")},
+                             {"revoked", true}});
     const json result{
         {"version", 1},
         {"organisations",
-         {organisation(1, "north"), organisation(2, "south"),
-          organisation(3, "west")}},
+         {north, organisation(2, "south"), organisation(3, "west")}},
         {"services", {model, till}},
         {"backend_servers",
          {backend_server(1, "engine", engine_.port()),
--- a/tests/golden/session.hpp
+++ b/tests/golden/session.hpp
@@ -38,7 +38,7 @@
 
 std::vector<step> parse_session(std::string_view text);
 
-// The text of the steps before their response lines.
+// The text of the step before its response lines.
 std::string write_request(const step& value);
 
 // Replaces what differs from run to run by placeholders, and back.
