--- a/scripts/lint_file.sh
+++ b/scripts/lint_file.sh
@@ -5,6 +5,6 @@
 output=$(clang-tidy-19 -p "$1" --quiet "$2" 2>/dev/null)
 status=$?
 if [ "$status" -ne 0 ]; then
-    printf '%s\n' "$output"
+    printf '%s: lint failed\n%s\n' "$2" "$output"
 fi
 exit "$status"
