Accept plans that name objects, as the command line tool writes them

The tool's object verbs sent changes by name and the daemon accepted typed items only, so none of them could work. The daemon now resolves names against the configuration in force.

--- a/src/cli/cli_test.cpp
+++ b/src/cli/cli_test.cpp
@@ -145,7 +145,8 @@
     tool.run({"organisation", "set", "north", "weight=2", "title=a b"});
 
     CHECK(tool.requests.at(0).body ==
-          R"({"changes":[{"action":"set","kind":"organisation",)"
+          R"({"reason":"organisation set north",)"
+          R"("changes":[{"action":"set","kind":"organisation",)"
           R"("name":"north","fields":{"weight":2,"title":"a b"}}]})");
     CHECK(tool.out.str().find("plan confirm") != std::string::npos);
 }
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -52,7 +52,7 @@
 
   Change the weight of an organisation. Nothing changes before the plan that
   bronzehub answers with is confirmed:
-    bronzehub organisation set north weight=2
+    bronzehub organisation set north default_weight=2
     bronzehub plan show PLAN
     bronzehub plan confirm PLAN
 
--- a/src/cli/tool.cpp
+++ b/src/cli/tool.cpp
@@ -297,9 +297,10 @@
                                  const tool_environment& environment) {
     const auto intent = make_intent(command);
     if (!intent.ok()) {
-        return report(environment,
-                      {exit_code::usage, std::string(intent.status().message()),
-                       "Example: bronzehub organisation set north weight=2"});
+        return report(
+            environment,
+            {exit_code::usage, std::string(intent.status().message()),
+             "Example: bronzehub organisation set north default_weight=2"});
     }
     return create_plan(*intent, command, environment);
 }
@@ -361,7 +362,11 @@
     if (command.action == verb::object_set) {
         change["fields"] = fields;
     }
-    return document{{"changes", document::array({change})}}.dump();
+    return document{{"reason", absl::StrCat(command.object_kind, " ",
+                                            std::string(change["action"]), " ",
+                                            command.object_name)},
+                    {"changes", document::array({change})}}
+        .dump();
 }
 
 exit_code run_tool(const std::vector<std::string>& arguments,
--- a/src/cli/tool.hpp
+++ b/src/cli/tool.hpp
@@ -31,8 +31,9 @@
 
 // The intent that sets fields of an object, or removes it, as JSON for
 // POST /admin/v1/plans:
-//   {"changes": [{"action": "set", "kind": "organisation", "name": "north",
-//                 "fields": {"weight": 2}}]}
+//   {"reason": "organisation set north",
+//    "changes": [{"action": "set", "kind": "organisation", "name": "north",
+//                 "fields": {"default_weight": 2}}]}
 // A value that is JSON keeps its type; any other text is a string.
 //
 // Errors: kInvalidArgument for a field that is not FIELD=VALUE or comes twice.
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -1,4 +1,5 @@
 #include "planning/plan.hpp"
+#include "planning/named_changes.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -198,8 +199,13 @@
     if (!faults.empty()) {
         return base::status_of(faults);
     }
-    assign_numbers(document, base);
-    return base::read_document<intent>(base::dump_json(document));
+    absl::StatusOr<json> typed =
+        resolve_named_changes(std::move(document), base);
+    if (!typed.ok()) {
+        return typed.status();
+    }
+    assign_numbers(*typed, base);
+    return base::read_document<intent>(base::dump_json(*typed));
 }
 
 std::string describe(const change_item& item) {
--- a/src/planning/plan.hpp
+++ b/src/planning/plan.hpp
@@ -74,7 +74,8 @@
     std::optional<std::uint64_t> confirmed_version{};
 };
 
-// Reads an intent. An added object may leave its number out; it receives the
+// Reads an intent, whose changes are typed (`items`) or by name (`changes`, see
+// named_changes.hpp). An added object may leave its number out; it receives the
 // next free one of `base`.
 absl::StatusOr<intent> read_intent(
     std::string_view text, const configuration::fleet_configuration& base);
