--- a/tests/golden/golden_test.cpp
+++ b/tests/golden/golden_test.cpp
@@ -3,7 +3,9 @@
 // scripts/update_golden.sh.
 #include <catch2/catch.hpp>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
+#include <set>
 #include <sstream>
 
 #include "http_exchange.hpp"
@@ -13,6 +15,8 @@
 namespace bronzehub::golden {
 namespace {
 
+constexpr const char* directory = "tests/golden/sessions/";
+
 std::string read_file(const std::string& path) {
     std::ifstream in(path);
     if (!in) {
@@ -37,7 +41,7 @@
 
 // Plays the session against a fleet of its own.
 void play_session(const std::string& name) {
-    const std::string path = "tests/golden/sessions/" + name + ".session";
+    const std::string path = std::string(directory) + name + ".session";
     const bool is_update = std::getenv("BRONZEHUB_UPDATE_GOLDEN") != nullptr;
     const std::vector<step> steps = parse_session(read_file(path));
     REQUIRE_FALSE(steps.front().request.empty());
@@ -49,13 +53,13 @@
         if (current.request.empty()) {
             continue;
         }
+        INFO(path << ":\n"
+                  << write_request(current) << "expected:\n"
+                  << current.expected);
         const std::string found =
             play(current, fleet.ports().at(current.destination), values);
         text += found;
-        INFO(path << ":\n"
-                  << write_request(current) << "expected:\n"
-                  << current.expected << "found:\n"
-                  << found);
+        INFO("found:\n" << found);
         // Not a comparison of texts, which Catch would print a second time.
         const bool is_as_expected = found == current.expected;
         CHECK((is_as_expected || is_update));
@@ -95,5 +99,26 @@
     play_session("platform_faults");
 }
 
+// Guards against a call that is repeated although it may have run.
+TEST_CASE("failing backend servers lead to the recorded responses") {
+    play_session("backend_faults");
+}
+
+// Guards against a draining host that the balancer still takes for ready.
+TEST_CASE("a draining host gives the recorded responses") {
+    play_session("drain");
+}
+
+// Guards against a session file that no test plays.
+TEST_CASE("every session file is played") {
+    std::set<std::string> names;
+    for (const auto& each : std::filesystem::directory_iterator(directory)) {
+        names.insert(each.path().stem());
+    }
+    CHECK(names == std::set<std::string>{"backend_faults", "caller_refusals",
+                                         "callers", "drain", "operators",
+                                         "plans", "platform_faults"});
+}
+
 }  // namespace
 }  // namespace bronzehub::golden
