--- a/src/calls/call_manager.cpp
+++ b/src/calls/call_manager.cpp
@@ -156,6 +156,7 @@
     waiting.organisation = target.request.organisation;
     waiting.cost_hint = target.request.cost_hint;
     waiting.deadline = target.admitted_at + target.request.deadline;
+    waiting.queue_limit = target.request.waiting_limit;
     const call_id id = target.id;
     if (const auto refused = schedule_.submit(waiting)) {
         refuse(id, *refused);
@@ -171,7 +172,7 @@
     target->server = server;
     const std::string address = transfers_.address_of(server);
     if (address.empty()) {
-        schedule_.returned(id);
+        schedule_.returned(id, false);
         return;
     }
     if (target->claimed && !target->may_have_run && !claims_.mark_sent(id)) {
@@ -287,7 +288,7 @@
     // Attempt numbers count calls that a backend server may have seen.
     target.attempt = target.may_have_run ? target.attempt : 0;
     target.step = call_step::waiting;
-    schedule_.returned(id);
+    schedule_.returned(id, target.started);
 }
 
 void call_manager::on_completed(call& target, const attempt_result& result) {
@@ -350,7 +351,7 @@
     ++(result.started ? counters_.resumed : counters_.retried);
     schedule_.progress(target.id, cost_of(target, result));
     target.step = call_step::waiting;
-    schedule_.returned(target.id);
+    schedule_.returned(target.id, result.started);
     return true;
 }
 
--- a/src/calls/call_manager.hpp
+++ b/src/calls/call_manager.hpp
@@ -79,7 +79,7 @@
     std::function<bool(call_id)> cancel;
     std::function<void(call_id, double)> progress;
     std::function<void(call_id, const dispatch::finished_call&)> finished;
-    std::function<void(call_id)> returned;
+    std::function<void(call_id, bool started)> returned;
     // A call of the service ended; times count from its start.
     std::function<void(base::service_id, base::duration first_byte,
                        base::duration total)>
--- a/src/calls/routing.cpp
+++ b/src/calls/routing.cpp
@@ -184,6 +184,7 @@
     call.kind = service->kind;
     call.costs = service->costs;
     call.deadline = service->default_deadline;
+    call.waiting_limit = organisation->limits.maximum_waiting_calls;
     if (auto refused = read_conditions(request.headers, call)) {
         return *std::move(refused);
     }
--- a/src/calls/routing.hpp
+++ b/src/calls/routing.hpp
@@ -44,6 +44,8 @@
     std::optional<std::string> idempotency_key;
     std::optional<double> cost_hint;  // Cost units.
     std::chrono::milliseconds deadline{0};
+    // Calls of the organisation that may wait for the service at this daemon.
+    std::size_t waiting_limit = 0;
 };
 
 // Decides what a request asks for. Every refusal has the outcome not_run.
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -36,6 +36,7 @@
 constexpr milliseconds membership_tick{50};
 constexpr milliseconds progress_tick{100};
 constexpr milliseconds drain_check{50};
+constexpr std::chrono::seconds busy_retry{1};
 constexpr std::size_t operator_threads = 1;
 constexpr std::uint64_t first_configuration_version = 1;
 constexpr std::uint64_t operator_body_bytes = 4UL * 1024 * 1024;
@@ -44,6 +45,8 @@
     const settings::daemon_settings& from) {
     calls::manager_options options;
     options.stream_idle_timeout = from.limits.idle_timeout;
+    options.relay.collect_bytes = from.limits.answer_bytes;
+    options.recorded_response_bytes = from.limits.answer_bytes;
     return options;
 }
 
@@ -293,6 +296,15 @@
 void node::implementation::admit(
     std::uint64_t id, std::string request_id, calls::routed_call call,
     std::shared_ptr<http_server::response_writer> writer) {
+    if (manager_.buffered_bytes() + call.body.size() >
+        settings_.limits.buffered_bytes) {
+        calls::respond_refusal(
+            *writer,
+            {base::refusal_code::backlog_full, base::call_outcome::not_run,
+             "this host holds as many request bodies as it may", busy_retry},
+            request_id);
+        return;
+    }
     manager_.admit(id, std::move(request_id), std::move(call),
                    std::move(writer));
 }
@@ -415,8 +427,9 @@
             [this](dispatch::call_id id, const dispatch::finished_call& end) {
                 fleet_.entry().finished(id, end);
             },
-        .returned =
-            [this](dispatch::call_id id) { fleet_.entry().returned(id); },
+        .returned = [this](
+                        dispatch::call_id id,
+                        bool started) { fleet_.entry().returned(id, started); },
         .measured =
             [this](base::service_id service, base::duration first_byte,
                    base::duration total) {
--- a/src/daemon/operators_api.cpp
+++ b/src/daemon/operators_api.cpp
@@ -252,7 +252,7 @@
         return {form.http_status, "application/json",
                 error_body(form.name, text_of(plan.status().message()))};
     }
-    return {status, "application/json", planning::write_plan(*plan)};
+    return {status, "application/json", planning::write_readable_plan(*plan)};
 }
 
 void operators_api::propose(const exchange& in, const respond& done) const {
--- a/src/dispatch/announcer.cpp
+++ b/src/dispatch/announcer.cpp
@@ -153,6 +153,14 @@
                : seen_grant{dispatcher.incarnation, grant_id};
 }
 
+void announcer::declined(const work_key& key) {
+    if (count_(key).waiting == 0) {
+        changed(key);
+    } else {
+        dirty_.insert(key);
+    }
+}
+
 void announcer::collect(
     const work_key& key, queue_state& queue,
     std::map<base::host_id, protocol::work_announcement>& out) {
--- a/src/dispatch/announcer.hpp
+++ b/src/dispatch/announcer.hpp
@@ -62,6 +62,11 @@
     void granted(const accounting::work_key& key,
                  const protocol::sender& dispatcher, std::uint64_t grant_id);
 
+    // A grant was declined. Calls that still wait are announced with the next
+    // flush: announced at once, they would be granted and declined in a loop
+    // for as long as no backend server is acceptable to them.
+    void declined(const accounting::work_key& key);
+
     // Sends the changes that could wait and widens the fan-out.
     void flush();
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -228,7 +228,7 @@
     void forget_service(base::service_id id) {
         service_state& service = services_[id];
         service.order.reset();
-        service.alarm = {};
+        report_alarms(id, service.alarm.reset());
         merge_.forget_service(id);
         for (auto& charges : unreported_ | std::views::values) {
             std::erase_if(charges, [id](const unreported_charge& charge) {
@@ -370,11 +370,15 @@
                 .no_capacity = service.fleet_slots == 0,
                 .partitioned = partitioned_,
                 .stale_exchange = exchange_is_stale()};
-            for (const auto& event : service.alarm.observe(usage, context)) {
-                if (alarm_) {
-                    alarm_(id, event);
-                }
-            }
+            report_alarms(id, service.alarm.observe(usage, context));
+        }
+    }
+
+    void report_alarms(base::service_id id,
+                       const std::vector<fairness_event>& events) const {
+        if (alarm_) {
+            std::ranges::for_each(
+                events, [&](const auto& event) { alarm_(id, event); });
         }
     }
 
--- a/src/dispatch/entry_dispatch.cpp
+++ b/src/dispatch/entry_dispatch.cpp
@@ -38,7 +38,8 @@
     waiting_call call;
     base::time_point submitted;
     std::list<call_id>::iterator place;  // In its queue, while waiting.
-    std::set<base::backend_server_id> excluded;
+    // Backend servers that failed the call, until when they are avoided.
+    std::map<base::backend_server_id, base::time_point> excluded;
     std::optional<used_grant> grant;  // Set while running.
     double charged = 0;
     double consumed = 0;
@@ -56,6 +57,13 @@
             .retry_after = std::nullopt};
 }
 
+base::refusal organisation_limit_reached(std::size_t limit) {
+    return {base::refusal_code::backlog_full, base::call_outcome::not_run,
+            "the organisation's limit of " + std::to_string(limit) +
+                " waiting calls for this service is reached",
+            std::chrono::seconds(1)};
+}
+
 base::refusal no_dispatcher() {
     return {.code = base::refusal_code::no_backend_server,
             .outcome = base::call_outcome::not_run,
@@ -94,6 +102,9 @@
         }
         call_queue& queue = queues_[key];
         const std::size_t length = queue.calls.size();
+        if (length >= call.queue_limit) {
+            return organisation_limit_reached(call.queue_limit);
+        }
         if (auto refused = backlog_.check(
                 length, queue.wait.estimate(length, now), now, call.deadline)) {
             return refused;
@@ -161,7 +172,7 @@
                  .output_units = end.output_units});
     }
 
-    void returned(call_id id) {
+    void returned(call_id id, bool started) {
         const auto found = calls_.find(id);
         if (found == calls_.end() || !found->second.grant) {
             return;
@@ -169,8 +180,12 @@
         call_state& state = found->second;
         const used_grant grant = *std::exchange(state.grant, std::nullopt);
         running_.erase(id);
-        state.excluded.insert(
-            base::backend_server_id(grant.grant.backend_server));
+        state.excluded.insert_or_assign(
+            base::backend_server_id(grant.grant.backend_server),
+            clock_.now() + options_.exclusion);
+        if (started) {
+            state.call.deadline = base::time_point::max();
+        }
         const work_key key = key_of(state.call);
         if (state.call.deadline <= clock_.now()) {
             calls_.erase(found);
@@ -198,7 +213,7 @@
                                            : std::optional<call_id>();
         if (!id) {
             release(used, {.reason = protocol::release_reason::unused});
-            announcer_.changed(key);
+            announcer_.declined(key);
             return;
         }
         start(calls_.at(*id), used);
@@ -297,12 +312,19 @@
         const auto& calls = queue->second.calls;
         const auto found = std::ranges::find_if(calls, [&](call_id id) {
             const call_state& state = calls_.at(id);
-            return !state.excluded.contains(server) &&
+            return !is_excluded(state, server, now) &&
                    state.call.deadline > now;
         });
         return found == calls.end() ? std::nullopt : std::optional(*found);
     }
 
+    static bool is_excluded(const call_state& state,
+                            base::backend_server_id server,
+                            base::time_point now) {
+        const auto found = state.excluded.find(server);
+        return found != state.excluded.end() && found->second > now;
+    }
+
     void start(call_state& state, const used_grant& used) {
         call_queue& queue = queues_[key_of(state.call)];
         dequeue(state);
@@ -470,8 +492,8 @@
     self_->finished(id, end);
 }
 
-void entry_dispatch::returned(call_id id) {
-    self_->returned(id);
+void entry_dispatch::returned(call_id id, bool started) {
+    self_->returned(id, started);
 }
 
 void entry_dispatch::on_grant(const protocol::sender& from,
--- a/src/dispatch/entry_dispatch.hpp
+++ b/src/dispatch/entry_dispatch.hpp
@@ -15,6 +15,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -41,6 +42,8 @@
     // The caller's hint in cost units. Without one the learnt cost is used.
     std::optional<double> cost_hint = std::nullopt;
     base::time_point deadline = base::time_point::max();
+    // Calls of the organisation and service that may wait at this daemon.
+    std::size_t queue_limit = std::numeric_limits<std::size_t>::max();
 };
 
 // How a running call ended.
@@ -64,6 +67,9 @@
 struct entry_options {
     base::host_id host;
     base::failure_domain_id failure_domain;
+    // How long a call avoids a backend server that failed it. For ever would
+    // leave it waiting when every server has failed once and is back.
+    base::duration exclusion = std::chrono::seconds(1);
     std::size_t waiting_per_organisation = 256;  // Per service.
     std::size_t waiting_in_all = 4096;
     base::duration usage_interval = std::chrono::milliseconds(500);
@@ -112,9 +118,11 @@
     void finished(call_id id, const finished_call& end);
 
     // No byte of the call left this host. The slot is released as failed and
-    // the call waits again at the head of its queue, never again for the same
-    // backend server. Refused as not_run when its deadline has passed.
-    void returned(call_id id);
+    // the call waits again at the head of its queue and avoids the same backend
+    // server for the exclusion time. Refused as not_run when its deadline has
+    // passed, unless the caller has the beginning of the response (`started`):
+    // the deadline is for the start.
+    void returned(call_id id, bool started = false);
 
     void on_grant(const protocol::sender& from,
                   const protocol::slot_grant& grant);
--- a/src/dispatch/entry_dispatch_test.cpp
+++ b/src/dispatch/entry_dispatch_test.cpp
@@ -171,6 +171,41 @@
     CHECK(f.started[2].first == 1);
 }
 
+// Guards against a loop of grants and refusals: a call that had failed on the
+// only replica was announced again with every declined grant, 376,854 times in
+// 5 s, and kept waiting until its deadline although the replica was back.
+TEST_CASE("a call that no replica suits waits for the next flush") {
+    fixture f;
+    f.submit(1);
+    f.grant(1);
+    f.entry.returned(1);
+    f.sent.clear();
+
+    f.grant(2);
+
+    CHECK(f.sent_to<protocol::work_announcement>("d").empty());
+    CHECK(f.started.size() == 1);
+
+    f.pass(seconds(1));
+    f.grant(3);
+    CHECK(f.started.size() == 2);
+}
+
+// Guards against a long stream that breaks after its deadline and is cut off
+// instead of resumed.
+TEST_CASE("the deadline does not end a call that had begun to answer") {
+    const auto [started, refusals] =
+        GENERATE(table<bool, std::size_t>({{true, 0}, {false, 1}}));
+    fixture f;
+    f.submit(1, 2, seconds(1));
+    f.grant(1);
+    f.time.advance(seconds(5));
+
+    f.entry.returned(1, started);
+
+    CHECK(f.refused.size() == refusals);
+}
+
 // Guards against calls that wait beyond their deadline, and against refusals
 // of calls that never ran which do not say so.
 TEST_CASE("a call is refused as not run when its deadline passes") {
--- a/src/dispatch/fairness_alarm.cpp
+++ b/src/dispatch/fairness_alarm.cpp
@@ -33,6 +33,19 @@
     return "unknown";
 }
 
+std::vector<fairness_event> fairness_alarm::reset() {
+    std::vector<fairness_event> ends;
+    for (const auto& [organisation, known] : states_) {
+        if (known.alarmed) {
+            fairness_event end;
+            end.organisation = organisation;
+            ends.push_back(end);
+        }
+    }
+    states_.clear();
+    return ends;
+}
+
 // Adds the service of the last interval to the lags of the organisations that
 // waited at both of its ends.
 void fairness_alarm::advance(std::span<const organisation_usage> usage,
--- a/src/dispatch/fairness_alarm.hpp
+++ b/src/dispatch/fairness_alarm.hpp
@@ -70,6 +70,9 @@
         std::span<const organisation_usage> usage,
         const alarm_context& context);
 
+    // Forgets everything. Returns the ends of the episodes that last.
+    std::vector<fairness_event> reset();
+
 private:
     struct state {
         double received = 0;
--- a/src/logging/logging.cpp
+++ b/src/logging/logging.cpp
@@ -89,7 +89,10 @@
 }
 
 line_sink standard_error() {
-    const auto lifetime = std::make_shared<log4cplus::Initializer>();
+    // log4cplus can be initialised once in a process. Never destroyed, because
+    // threads may still log while the process ends.
+    static const auto& lifetime = *new log4cplus::Initializer();
+    (void)lifetime;
     constexpr bool to_standard_error = true;
     constexpr bool flush_each_line = true;
     log4cplus::SharedAppenderPtr appender(
@@ -100,7 +103,7 @@
     target.setAdditivity(false);
     target.setLogLevel(log4cplus::ALL_LOG_LEVEL);
     target.addAppender(appender);
-    return [lifetime, target](level severity, std::string_view line) {
+    return [target](level severity, std::string_view line) {
         target.log(to_log4cplus(severity), std::string(line));
     };
 }
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -105,7 +105,9 @@
     write(added, claim, claim.state, now);
     added.since = now;
     added.configuration_version = claim.configuration_version;
-    return {&added, std::nullopt, true, is_news(source)};
+    claim_result result{&added, std::nullopt, true, is_news(source)};
+    result.version_raised = claim.configuration_version > 0;
+    return result;
 }
 
 void member_table::write(member& known, const member_update& claim,
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -41,10 +41,34 @@
     return configuration::identity<std::remove_const_t<object>>::of(item.value);
 }
 
+// A key's digest is shortened in what operators read: enough to see that it
+// changes, too little to search for the key.
+constexpr std::size_t shown_digest_characters = 8;
+
+void shorten_digests(json& value) {
+    if (!value.is_structured()) {
+        return;
+    }
+    for (const char* name : {"sha256", "key_sha256"}) {
+        if (value.is_object() && value.contains(name)) {
+            value[name] = value[name].get<std::string>().substr(
+                0, shown_digest_characters);
+        }
+    }
+    for (json& each : value) {
+        shorten_digests(each);
+    }
+}
+
 // The object that an item concerns, as JSON; empty when it does not exist.
 template <class T>
 std::string json_or_empty(const T* object) {
-    return object == nullptr ? "" : base::write_document(*object);
+    if (object == nullptr) {
+        return "";
+    }
+    json value = base::write_value(*object);
+    shorten_digests(value);
+    return base::dump_json(value);
 }
 
 std::string object_json(const fleet_configuration& in,
@@ -73,7 +97,7 @@
     }
     const auto key =
         std::ranges::find(owner->keys, id.key, &configuration::api_key::id);
-    return key == owner->keys.end() ? "" : base::write_document(*key);
+    return json_or_empty(key == owner->keys.end() ? nullptr : &*key);
 }
 
 std::string object_json(const fleet_configuration& in,
@@ -247,6 +271,12 @@
     return result;
 }
 
+std::string write_readable_plan(const plan& value) {
+    json document = base::write_value(value);
+    shorten_digests(document);
+    return base::dump_json(document);
+}
+
 std::string write_plan(const plan& value) {
     return base::write_document(value);
 }
--- a/src/planning/plan.hpp
+++ b/src/planning/plan.hpp
@@ -89,7 +89,10 @@
 std::string describe(const configuration::change_item& item);
 std::string describe(const std::vector<configuration::change_item>& items);
 
+// The form that is stored.
 std::string write_plan(const plan& value);
+// The form that operators read, with shortened digests of keys.
+std::string write_readable_plan(const plan& value);
 absl::StatusOr<plan> read_plan(std::string_view text);
 
 }  // namespace bronzehub::planning
--- a/src/settings/checks.cpp
+++ b/src/settings/checks.cpp
@@ -194,11 +194,6 @@
                absl::StrCat("at most limits.waiting_calls, ",
                             limits.waiting_calls));
     }
-    if (limits.read_timeout < limits.header_timeout) {
-        report("limits.read_timeout_ms", milliseconds_text(limits.read_timeout),
-               absl::StrCat("at least limits.header_timeout_ms, ",
-                            milliseconds_text(limits.header_timeout)));
-    }
 }
 
 void check_platform(const platform_settings& platform,
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -79,7 +79,6 @@
     std::uint32_t caller_connections = 0;
     std::uint32_t waiting_calls = 0;
     std::uint32_t waiting_calls_per_organisation_and_service = 0;
-    std::chrono::milliseconds header_timeout{};
     std::chrono::milliseconds read_timeout{};
     std::chrono::milliseconds write_timeout{};
     std::chrono::milliseconds idle_timeout{};
--- a/src/settings/settings_table.cpp
+++ b/src/settings/settings_table.cpp
@@ -207,9 +207,10 @@
     number_row("limits.body_bytes", "bytes", "1048576", {kibibyte, gibibyte},
                "Largest request body.",
                store<limits, &limit_settings::body_bytes>),
-    number_row("limits.answer_bytes", "bytes", "16777216", {kibibyte, gibibyte},
-               "Largest response that is not streamed; such a response is "
-               "held until it is complete.",
+    number_row("limits.answer_bytes", "bytes", "4194304", {kibibyte, gibibyte},
+               "Largest response that is held until it is complete. A larger "
+               "one is passed through as it arrives and is not recorded for "
+               "its idempotency key.",
                store<limits, &limit_settings::answer_bytes>),
     number_row("limits.buffered_bytes", "bytes", "134217728",
                {mebibyte, 64 * gibibyte},
@@ -228,9 +229,6 @@
         "daemon.",
         store<limits,
               &limit_settings::waiting_calls_per_organisation_and_service>),
-    time_row("limits.header_timeout_ms", "5000", {100, 10 * minute_ms},
-             "Time for a caller to send the header block.",
-             store<limits, &limit_settings::header_timeout>),
     time_row("limits.read_timeout_ms", "30000", {100, 10 * minute_ms},
              "Time for a caller to send the whole request.",
              store<limits, &limit_settings::read_timeout>),
