--- a/src/calls/call_manager.cpp
+++ b/src/calls/call_manager.cpp
@@ -212,6 +212,9 @@
     const call_id id = target.id;
     const std::uint32_t attempt = ++target.attempt;
     target.step = call_step::sent;
+    if (!target.may_have_run) {
+        schedule_.sent(target.request.organisation, target.request.service);
+    }
     target.may_have_run = true;
 
     relay_options options = options_.relay;
--- a/src/calls/call_manager.hpp
+++ b/src/calls/call_manager.hpp
@@ -84,6 +84,8 @@
     std::function<void(base::service_id, base::duration first_byte,
                        base::duration total)>
         measured;
+    // A first attempt is handed over; it earns retry budget.
+    std::function<void(base::organisation_id, base::service_id)> sent;
     // Whether the retry budget of the organisation and service allows one more
     // attempt; spends it when it does.
     std::function<bool(base::organisation_id, base::service_id)> take_retry;
--- a/src/calls/call_manager_test.cpp
+++ b/src/calls/call_manager_test.cpp
@@ -129,6 +129,7 @@
                 },
             .returned = [this](call_id id, bool) { waiting_.push_front(id); },
             .measured = [](auto, auto, auto) {},
+            .sent = [](auto, auto) {},
             .take_retry =
                 [this](auto, auto) {
                     if (retry_budget_ == 0) {
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -69,7 +69,7 @@
   2  wrong usage
   3  no daemon could be reached
   4  invalid settings or input
-  5  conflict: the fleet changed in the meantime; create the plan again
+  5  conflict: the plan or the fleet changed in the meantime
 )";
 
 using arguments_map = std::map<std::string, docopt::value>;
--- a/src/cli/tool.cpp
+++ b/src/cli/tool.cpp
@@ -71,8 +71,8 @@
         case http_conflict:
         case http_precondition_failed:
             return {exit_code::conflict, cause,
-                    "The fleet changed in the meantime: look at the "
-                    "difference and create the plan again."};
+                    "Look at the plan and at what changed in the "
+                    "meantime; create the plan again if it is still wanted."};
         case http_bad_request:
         case http_unprocessable:
             return {exit_code::invalid_input, cause, ""};
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -1,28 +1,25 @@
 #include "daemon/node.hpp"
 
 #include <algorithm>
-#include <array>
 #include <chrono>
 #include <functional>
 #include <string>
 #include <utility>
 
-#include "absl/strings/str_cat.h"
 #include "backend_client/client.hpp"
 #include "base/clock.hpp"
 #include "calls/call_manager.hpp"
 #include "calls/call_responses.hpp"
-#include "configuration/json_form.hpp"
 #include "configuration/snapshot_holder.hpp"
 #include "daemon/callers_api.hpp"
 #include "daemon/claim_link.hpp"
 #include "daemon/control_plane.hpp"
 #include "daemon/daemon_metrics.hpp"
 #include "daemon/decision_loop.hpp"
-#include "daemon/endpoint.hpp"
 #include "daemon/fleet.hpp"
 #include "daemon/operators_api.hpp"
 #include "daemon/peer_link.hpp"
+#include "daemon/startup.hpp"
 #include "http_server/server.hpp"
 
 namespace bronzehub::daemon {
@@ -38,61 +35,8 @@
 constexpr milliseconds drain_check{50};
 constexpr std::chrono::seconds busy_retry{1};
 constexpr std::size_t operator_threads = 1;
-constexpr std::uint64_t first_configuration_version = 1;
 constexpr std::uint64_t operator_body_bytes = 4UL * 1024 * 1024;
 
-calls::manager_options manager_options_of(
-    const settings::daemon_settings& from) {
-    calls::manager_options options;
-    options.stream_idle_timeout = from.limits.idle_timeout;
-    options.relay.collect_bytes = from.limits.answer_bytes;
-    options.recorded_response_bytes = from.limits.answer_bytes;
-    return options;
-}
-
-http_server::options server_options_of(const settings::daemon_settings& from,
-                                       const std::string& listener) {
-    const endpoint where = split_endpoint(listener);
-    http_server::options options;
-    options.address = where.address;
-    options.port = where.port;
-    options.threads = from.threads.workers;
-    options.max_body_bytes = from.limits.body_bytes;
-    options.max_header_bytes = from.limits.header_bytes;
-    options.read_timeout = from.limits.read_timeout;
-    options.write_timeout = from.limits.write_timeout;
-    options.max_connections = from.limits.caller_connections;
-    return options;
-}
-
-// Rises with every start of the daemon on a host.
-std::uint64_t new_incarnation() {
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<milliseconds>(
-            std::chrono::system_clock::now().time_since_epoch())
-            .count());
-}
-
-// The server refuses these requests before they are calls.
-http_server::rejection make_rejection(int status) {
-    struct row {
-        int status;
-        base::refusal_code code;
-    };
-    constexpr std::array table{
-        row{408, base::refusal_code::request_timeout},
-        row{413, base::refusal_code::request_too_large},
-        row{503, base::refusal_code::backlog_full},
-    };
-    const auto found = std::ranges::find(table, status, &row::status);
-    const base::refusal why{
-        found == table.end() ? base::refusal_code::bad_request : found->code,
-        base::call_outcome::not_run,
-        "the request could not be read, status " + std::to_string(status),
-        std::nullopt};
-    return {calls::refusal_headers(why, ""), calls::refusal_body(why, "")};
-}
-
 }  // namespace
 
 class node::implementation {
@@ -204,27 +148,6 @@
     client_.reset();
 }
 
-// The settings library knows nothing of the fleet configuration, so a bad one
-// is found here, before anything is written.
-absl::Status check_initial_configuration(
-    const settings::daemon_settings& settings) {
-    if (!settings.initial_configuration) {
-        return absl::OkStatus();
-    }
-    const auto value =
-        configuration::read_configuration(*settings.initial_configuration);
-    if (!value.ok()) {
-        return absl::InvalidArgumentError(
-            absl::StrCat("initial_configuration: ", value.status().message()));
-    }
-    if (value->version != first_configuration_version) {
-        return absl::InvalidArgumentError(absl::StrCat(
-            "initial_configuration.version: found ", value->version,
-            ", expected ", first_configuration_version));
-    }
-    return absl::OkStatus();
-}
-
 absl::Status node::implementation::start() {
     if (auto status = check_initial_configuration(settings_); !status.ok()) {
         return status;
@@ -435,6 +358,11 @@
                    base::duration total) {
                 metrics_.record(service, first_byte, total);
             },
+        .sent =
+            [this](base::organisation_id organisation,
+                   base::service_id service) {
+                fleet_.retries().call_sent(organisation, service);
+            },
         .take_retry =
             [this](base::organisation_id organisation,
                    base::service_id service) {
