Do not touch a call after its attempt ended within send

Found by the address sanitizer in calls_test: the handle was stored in the call after the hook had ended and removed it. The daemon posts the end to its decision thread, so only callers with an immediate post were affected. The logging library no longer leaks the initializer of log4cplus.

--- a/src/calls/call_manager.cpp
+++ b/src/calls/call_manager.cpp
@@ -238,9 +238,13 @@
     };
     target.relay = std::make_shared<response_relay>(
         std::move(options), clock_, target.writer, std::move(hooks));
-    target.transfer =
+    const backend_client::handle handle =
         transfers_.send(make_request(target, address), target.relay->events());
-    transfer->store(target.transfer);
+    transfer->store(handle);
+    // The attempt may have ended, and the call with it, within `send`.
+    if (call* still = find(id); still != nullptr && still->attempt == attempt) {
+        still->transfer = handle;
+    }
 }
 
 void call_manager::on_attempt_ended(call_id id, std::uint32_t attempt,
--- a/src/logging/logging.cpp
+++ b/src/logging/logging.cpp
@@ -89,10 +89,8 @@
 }
 
 line_sink standard_error() {
-    // log4cplus can be initialised once in a process. Never destroyed, because
-    // threads may still log while the process ends.
-    static const auto& lifetime = *new log4cplus::Initializer();
-    (void)lifetime;
+    // log4cplus can be initialised once in a process.
+    static const log4cplus::Initializer lifetime;
     constexpr bool to_standard_error = true;
     constexpr bool flush_each_line = true;
     log4cplus::SharedAppenderPtr appender(
