--- a/src/base/json_fields.cpp
+++ b/src/base/json_fields.cpp
@@ -112,12 +112,15 @@
                           : absl::InvalidArgumentError(to_string(faults));
 }
 
-nlohmann::json parse_json(std::string_view text, json_faults& faults) {
+nlohmann::json parse_json(std::string_view text, json_faults& faults,
+                          json_comments comments) {
+    const bool ignore_comments = comments == json_comments::ignored;
     duplicate_finder finder(faults);
-    if (!json::sax_parse(text, &finder)) {
+    if (!json::sax_parse(text, &finder, json::input_format_t::json, true,
+                         ignore_comments)) {
         return json(json::value_t::discarded);
     }
-    return json::parse(text, nullptr, false);
+    return json::parse(text, nullptr, false, ignore_comments);
 }
 
 std::string dump_json(const nlohmann::json& value) {
--- a/src/base/json_fields.hpp
+++ b/src/base/json_fields.hpp
@@ -54,9 +54,12 @@
 // kInvalidArgument with every fault, or OK for an empty list.
 absl::Status status_of(std::span<const json_fault> faults);
 
+enum class json_comments : std::uint8_t { rejected, ignored };
+
 // Parses a document and reports syntax errors and duplicate keys. The result
 // is discarded (`is_discarded()`) after a syntax error.
-nlohmann::json parse_json(std::string_view text, json_faults& faults);
+nlohmann::json parse_json(std::string_view text, json_faults& faults,
+                          json_comments comments = json_comments::rejected);
 
 // Compact text; invalid UTF-8 is replaced.
 std::string dump_json(const nlohmann::json& value);
--- /dev/null
+++ b/src/entry/backend_connection.cpp
@@ -0,0 +1,276 @@
+#include "entry/backend_connection.hpp"
+
+#include <netinet/tcp.h>
+
+#include <asio/ip/address.hpp>
+#include <charconv>
+#include <tuple>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace bronzehub::entry {
+namespace {
+
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+// Far above a round trip between failure domains, and below the second after
+// which TCP repeats a lost opening packet.
+constexpr milliseconds connect_timeout{400};
+// Bytes that the other side does not acknowledge for this long: it is cut off.
+constexpr int unacknowledged_ms = 1500;
+// Keep-alive probes find a peer that fell silent within about this time.
+constexpr int keep_alive_idle_s = 1;
+constexpr int keep_alive_interval_s = 1;
+constexpr int keep_alive_probes = 2;
+// Response heads beyond this size are an error of the server.
+constexpr std::size_t max_response_head = std::size_t{64} * 1024;
+
+void set_failure_detection(tcp::socket& socket) {
+    asio::error_code ignored;  // Without the options, failures show later.
+    std::ignore =
+        socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    const int handle = socket.native_handle();
+    const auto set = [handle](int name, int value) {
+        setsockopt(handle, IPPROTO_TCP, name, &value, sizeof(value));
+    };
+    set(TCP_USER_TIMEOUT, unacknowledged_ms);
+    set(TCP_KEEPIDLE, keep_alive_idle_s);
+    set(TCP_KEEPINTVL, keep_alive_interval_s);
+    set(TCP_KEEPCNT, keep_alive_probes);
+}
+
+bool parse_endpoint(std::string_view text, tcp::endpoint& result) {
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return false;
+    }
+    std::uint16_t port = 0;
+    const std::string_view digits = text.substr(colon + 1);
+    const auto parsed =
+        std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    asio::error_code error;
+    const auto address =
+        asio::ip::make_address(std::string(text.substr(0, colon)), error);
+    if (error || parsed.ec != std::errc()) {
+        return false;
+    }
+    result = tcp::endpoint(address, port);
+    return true;
+}
+
+}  // namespace
+
+std::string encode_request(const outgoing_request& request) {
+    std::string bytes;
+    bytes.reserve(512 + request.body.size());
+    bytes.append(request.method).append(" ").append(request.target);
+    bytes.append(" HTTP/1.1\r\n");
+    for (const auto& [name, value] : request.headers) {
+        bytes.append(name).append(": ").append(value).append("\r\n");
+    }
+    const bool has_body = !request.body.empty() || request.method == "POST" ||
+                          request.method == "PUT" || request.method == "PATCH";
+    if (has_body) {
+        absl::StrAppend(&bytes, "Content-Length: ", request.body.size(),
+                        "\r\n");
+    }
+    bytes.append("\r\n").append(request.body);
+    return bytes;
+}
+
+backend_connection::backend_connection(event_loop& loop, std::string address)
+    : loop_(loop),
+      address_(std::move(address)),
+      parser_(message_kind::response, max_response_head,
+              {[this](message_head& head) { on_head(head); },
+               [this](std::string_view bytes) {
+                   if (!skipping_ && hooks_) {
+                       const auto hooks = hooks_;
+                       hooks->on_body(bytes);
+                   }
+               }}) {}
+
+void backend_connection::send(const outgoing_request& request,
+                              exchange_hooks hooks) {
+    busy_ = true;
+    hooks_ = std::make_shared<exchange_hooks>(std::move(hooks));
+    head_request_ = request.method == "HEAD";
+    skipping_ = false;
+    parser_.next(head_request_);
+    std::string bytes = encode_request(request);
+    if (channel_) {
+        write_request(bytes);
+    } else {
+        connect(std::move(bytes));
+    }
+}
+
+void backend_connection::connect(std::string bytes) {
+    tcp::endpoint endpoint;
+    if (!parse_endpoint(address_, endpoint)) {
+        loop_.after(base::duration(0), [self = shared_from_this()] {
+            self->end(exchange_end::not_sent, "malformed address");
+        });
+        return;
+    }
+    auto socket = std::make_shared<tcp::socket>(loop_.context());
+    connecting_ = socket;
+    const auto timer =
+        loop_.after(connect_timeout, [self = shared_from_this(), socket] {
+            if (self->connecting_ == socket) {
+                self->end(exchange_end::not_sent, "connect timed out");
+            }
+        });
+    asio::error_code error;
+    std::ignore = socket->open(endpoint.protocol(), error);
+    if (!error) {
+        set_failure_detection(*socket);
+    }
+    socket->async_connect(
+        endpoint, [self = shared_from_this(), socket, timer,
+                   bytes = std::move(bytes)](const asio::error_code& failed) {
+            self->loop_.cancel(timer);
+            if (self->connecting_ != socket) {
+                return;
+            }
+            if (failed) {
+                self->end(exchange_end::not_sent, failed.message());
+                return;
+            }
+            self->connecting_.reset();
+            self->on_connected(std::move(*socket), bytes);
+        });
+}
+
+void backend_connection::on_connected(tcp::socket socket,
+                                      const std::string& bytes) {
+    channel_ = std::make_shared<byte_channel>(loop_, std::move(socket));
+    channel_->start(
+        {[this](std::string_view received) { on_bytes(received); },
+         [this](const asio::error_code& error) { on_closed(error); }});
+    write_request(bytes);
+}
+
+void backend_connection::write_request(std::string_view bytes) {
+    written_before_ = channel_->written();
+    channel_->write(bytes);
+}
+
+void backend_connection::on_bytes(std::string_view bytes) {
+    const auto self = shared_from_this();
+    while (!bytes.empty() && !closed_) {
+        if (!busy_) {
+            // Bytes that no request asked for belong to no one.
+            close();
+            return;
+        }
+        bytes.remove_prefix(parser_.feed(bytes));
+        switch (parser_.where()) {
+            case message_parser::state::complete:
+                on_complete(!bytes.empty());
+                break;
+            case message_parser::state::failed:
+            case message_parser::state::head_too_large:
+                end(exchange_end::broken,
+                    absl::StrCat("not a response: ",
+                                 std::string(parser_.error())));
+                return;
+            default:
+                break;
+        }
+    }
+}
+
+void backend_connection::on_head(message_head& head) {
+    constexpr int first_final_status = 200;
+    skipping_ = head.status < first_final_status;
+    if (skipping_ || !hooks_) {
+        return;
+    }
+    const auto hooks = hooks_;
+    skipping_ = !hooks->on_head(head);
+}
+
+void backend_connection::on_complete(bool extra_bytes) {
+    if (closed_) {
+        return;
+    }
+    const bool keep = parser_.keep_alive();
+    if (skipping_) {
+        if (!keep) {
+            end(exchange_end::broken, "closed after a foreign response");
+            return;
+        }
+        skipping_ = false;
+        parser_.next(head_request_);
+        return;
+    }
+    // What was not sent of the request would be read as the next one.
+    const bool reusable = keep && !extra_bytes && channel_->pending() == 0;
+    ++exchanges_;
+    idle_since_ = loop_.now();
+    busy_ = false;
+    const auto hooks = std::exchange(hooks_, nullptr);
+    if (!reusable) {
+        close();
+    }
+    hooks->on_end(exchange_end::complete, "");
+}
+
+void backend_connection::on_closed(const asio::error_code& error) {
+    const auto self = shared_from_this();
+    if (!busy_) {
+        close();
+        return;
+    }
+    if (error == asio::error::eof) {
+        parser_.finish();
+        if (parser_.where() == message_parser::state::complete && !skipping_) {
+            on_complete(false);
+            return;
+        }
+    }
+    const bool unsent = channel_ && channel_->written() == written_before_ &&
+                        parser_.where() == message_parser::state::idle;
+    end(unsent ? exchange_end::not_sent : exchange_end::broken,
+        error.message());
+}
+
+void backend_connection::end(exchange_end how, std::string_view reason) {
+    const auto self = shared_from_this();
+    const auto hooks = std::exchange(hooks_, nullptr);
+    const std::string text(reason);
+    close();
+    if (hooks) {
+        hooks->on_end(how, text);
+    }
+}
+
+void backend_connection::close() {
+    closed_ = true;
+    busy_ = false;
+    hooks_.reset();
+    if (const auto socket = std::exchange(connecting_, nullptr)) {
+        asio::error_code ignored;  // Nothing follows from a failed close.
+        std::ignore = socket->close(ignored);
+    }
+    if (channel_) {
+        channel_->close();
+    }
+}
+
+void backend_connection::pause() {
+    if (channel_) {
+        channel_->pause_reading();
+    }
+}
+
+void backend_connection::resume() {
+    if (channel_) {
+        channel_->resume_reading();
+    }
+}
+
+}  // namespace bronzehub::entry
--- /dev/null
+++ b/src/entry/byte_channel.cpp
@@ -0,0 +1,174 @@
+#include "entry/byte_channel.hpp"
+
+#include <asio/buffer.hpp>
+#include <tuple>
+#include <utility>
+
+namespace bronzehub::entry {
+namespace {
+
+using asio::ip::tcp;
+
+// How long a closed connection is read on, so that its last bytes arrive.
+constexpr std::chrono::seconds linger_time{1};
+
+}  // namespace
+
+byte_channel::byte_channel(event_loop& loop, tcp::socket socket)
+    : loop_(loop), socket_(std::move(socket)) {
+    asio::error_code ignored;  // A socket that failed shows it at the read.
+    std::ignore = socket_.non_blocking(true, ignored);
+    std::ignore = socket_.set_option(tcp::no_delay(true), ignored);
+}
+
+void byte_channel::start(channel_hooks hooks) {
+    hooks_ = std::make_shared<channel_hooks>(std::move(hooks));
+    wait_readable();
+}
+
+void byte_channel::wait_readable() {
+    if (!open_ || paused_ || waiting_readable_) {
+        return;
+    }
+    waiting_readable_ = true;
+    // Waiting first saves the read that would find nothing.
+    socket_.async_wait(
+        tcp::socket::wait_read,
+        [self = shared_from_this()](const asio::error_code& error) {
+            self->waiting_readable_ = false;
+            if (self->open_ && !error) {
+                self->read_available();
+            }
+        });
+}
+
+void byte_channel::read_available() {
+    auto& buffer = loop_.read_buffer();
+    const auto hooks = hooks_;
+    while (open_ && !paused_) {
+        asio::error_code error;
+        const std::size_t size = socket_.read_some(asio::buffer(buffer), error);
+        if (error == asio::error::would_block) {
+            break;
+        }
+        if (error) {
+            fail(error);
+            return;
+        }
+        if (!closing_) {
+            hooks->on_bytes(std::string_view(buffer.data(), size));
+        }
+        if (size < buffer.size()) {
+            break;
+        }
+    }
+    wait_readable();
+}
+
+void byte_channel::resume_reading() {
+    paused_ = false;
+    wait_readable();
+}
+
+void byte_channel::write(std::string_view bytes) {
+    if (!open_ || closing_) {
+        return;
+    }
+    if (unsent_.empty() && !bytes.empty()) {
+        asio::error_code error;
+        const std::size_t size =
+            socket_.write_some(asio::buffer(bytes.data(), bytes.size()), error);
+        if (error && error != asio::error::would_block) {
+            // Reported from the loop: the caller is in the middle of its work.
+            paused_ = true;
+            loop_.after(base::duration(0), [self = shared_from_this(), error] {
+                self->fail(error);
+            });
+            return;
+        }
+        written_ += size;
+        bytes.remove_prefix(size);
+    }
+    unsent_.append(bytes);
+    wait_writable();
+}
+
+void byte_channel::wait_writable() {
+    if (!open_ || unsent_.empty() || waiting_writable_) {
+        return;
+    }
+    waiting_writable_ = true;
+    socket_.async_wait(
+        tcp::socket::wait_write,
+        [self = shared_from_this()](const asio::error_code& error) {
+            self->waiting_writable_ = false;
+            if (self->open_ && !error) {
+                self->flush();
+            }
+        });
+}
+
+void byte_channel::flush() {
+    asio::error_code error;
+    const std::size_t size =
+        socket_.write_some(asio::buffer(unsent_.data(), unsent_.size()), error);
+    if (error && error != asio::error::would_block) {
+        fail(error);
+        return;
+    }
+    written_ += size;
+    unsent_.erase(0, size);
+    if (!unsent_.empty()) {
+        wait_writable();
+        return;
+    }
+    if (closing_) {
+        begin_linger();
+        return;
+    }
+    if (const auto hooks = hooks_; hooks && hooks->on_drained) {
+        hooks->on_drained();
+    }
+}
+
+void byte_channel::fail(const asio::error_code& error) {
+    if (!open_) {
+        return;
+    }
+    const auto hooks = hooks_;
+    const bool report = !closing_;
+    close();
+    if (report && hooks) {
+        hooks->on_closed(error);
+    }
+}
+
+void byte_channel::close() {
+    if (!open_) {
+        return;
+    }
+    open_ = false;
+    asio::error_code ignored;  // Nothing follows from a failed close.
+    std::ignore = socket_.close(ignored);
+    hooks_.reset();
+}
+
+void byte_channel::close_after_write() {
+    if (!open_ || closing_) {
+        return;
+    }
+    closing_ = true;
+    paused_ = false;
+    wait_readable();
+    if (unsent_.empty()) {
+        begin_linger();
+    }
+}
+
+void byte_channel::begin_linger() {
+    asio::error_code ignored;  // The connection may be gone already.
+    std::ignore = socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    loop_.after(linger_time, [self = shared_from_this()] { self->close(); });
+}
+
+}  // namespace bronzehub::entry
--- /dev/null
+++ b/src/entry/byte_channel.hpp
@@ -0,0 +1,73 @@
+// A TCP connection as a stream of bytes in both directions.
+#ifndef BRONZEHUB_ENTRY_BYTE_CHANNEL_HPP
+#define BRONZEHUB_ENTRY_BYTE_CHANNEL_HPP
+
+#include <asio/ip/tcp.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "entry/event_loop.hpp"
+
+namespace bronzehub::entry {
+
+struct channel_hooks {
+    // The bytes are valid during the call only.
+    std::function<void(std::string_view)> on_bytes;
+    // The other side ended the connection (`asio::error::eof`) or it failed.
+    // The last event; not called after `close`.
+    std::function<void(const asio::error_code&)> on_closed;
+    // Everything written has been taken by the kernel. May be empty.
+    std::function<void()> on_drained = nullptr;
+};
+
+// Owned by shared pointer; pending operations keep it alive until `close`.
+// Not thread-safe.
+class byte_channel : public std::enable_shared_from_this<byte_channel> {
+public:
+    byte_channel(event_loop& loop, asio::ip::tcp::socket socket);
+
+    void start(channel_hooks hooks);
+
+    // Sends what the kernel takes at once and keeps the rest.
+    void write(std::string_view bytes);
+    std::size_t pending() const { return unsent_.size(); }
+    // Bytes that the kernel has taken since the start.
+    std::uint64_t written() const { return written_; }
+
+    void pause_reading() { paused_ = true; }
+    void resume_reading();
+
+    bool is_open() const { return open_; }
+    void close();
+
+    // Sends what is pending, ends the sending direction and closes when the
+    // other side has closed too, so that a reset does not overtake the last
+    // bytes.
+    void close_after_write();
+
+private:
+    void wait_readable();
+    void read_available();
+    void wait_writable();
+    void flush();
+    void fail(const asio::error_code& error);
+    void begin_linger();
+
+    event_loop& loop_;
+    asio::ip::tcp::socket socket_;
+    std::shared_ptr<channel_hooks> hooks_;
+    std::string unsent_;
+    std::uint64_t written_ = 0;
+    bool open_ = true;
+    bool paused_ = false;
+    bool waiting_readable_ = false;
+    bool waiting_writable_ = false;
+    bool closing_ = false;
+};
+
+}  // namespace bronzehub::entry
+
+#endif
--- /dev/null
+++ b/src/entry/call.cpp
@@ -0,0 +1,656 @@
+#include "entry/call.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "base/hash.hpp"
+#include "overload/placement.hpp"
+#include "platform/message_codec.hpp"
+
+namespace bronzehub::entry {
+namespace {
+
+using overload::attempt_action;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using seconds = std::chrono::duration<double>;
+
+// Part of the time to the first event in which a request may wait for a place;
+// the engine needs the rest to read the prompt.
+constexpr double waiting_share = 0.5;
+// Engines that are asked for a place before a request waits at the first.
+constexpr std::size_t engine_candidates = 3;
+// Without a hint, an answer is expected to use this part of what it may.
+constexpr double expected_output_share = 0.5;
+// A generated token counts as two read ones, in the platform's unit.
+constexpr double output_token_cost = 2;
+// Backend servers that can't be reached before the request is given up.
+constexpr std::uint32_t max_connect_failures = 3;
+// Bytes that wait for a slow caller before its server is no longer read.
+constexpr std::size_t high_water_bytes = std::size_t{256} * 1024;
+// Whole responses beyond this size are an error of the backend server.
+constexpr std::size_t max_response_bytes = std::size_t{16} * 1024 * 1024;
+// Spread of Retry-After around its value, so that callers who were refused
+// together don't return together.
+constexpr double retry_spread = 0.25;
+constexpr milliseconds store_retry{1000};
+constexpr milliseconds no_server_retry{1000};
+constexpr milliseconds draining_retry{100};
+
+constexpr int ok = 200;
+constexpr int unauthorised = 401;
+constexpr int not_found = 404;
+constexpr int misdirected = 421;
+constexpr int bad_gateway = 502;
+constexpr int unavailable = 503;
+constexpr int gateway_timeout = 504;
+constexpr int first_server_error = 500;
+
+std::string start_name(const fleet_state::backend_server& server) {
+    return absl::StrCat(server.id, "/", server.started_at_ms);
+}
+
+}  // namespace
+
+call::call(call_environment& environment,
+           std::shared_ptr<caller_connection> caller, caller_request request,
+           std::function<void(call*)> on_end)
+    : environment_(environment),
+      caller_(std::move(caller)),
+      request_(std::move(request)),
+      on_end_(std::move(on_end)) {}
+
+base::duration call::time_left() const {
+    return deadline_ - environment_.loop.now();
+}
+
+bool call::engine_work() const {
+    return service_->engine_slots > 0;
+}
+
+void call::start() {
+    description_ = platform_wire::describe_request(request_.headers);
+    report_.request_id = description_.id;
+    configuration_ = environment_.fleet.configuration();
+    if (!configuration_ || !environment_.servers.known()) {
+        refuse("no configuration yet", store_retry);
+        return;
+    }
+    if (environment_.draining()) {
+        refuse("draining", draining_retry);
+        return;
+    }
+    if (!find_route() || !check_key()) {
+        return;
+    }
+    milliseconds limit = route_->timeout;
+    if (description_.deadline) {
+        limit = limit.count() > 0 ? std::min(limit, *description_.deadline)
+                                  : *description_.deadline;
+    }
+    deadline_ = request_.arrived_at + limit;
+    deadline_timer_ = environment_.loop.after(
+        time_left(), [self = shared_from_this()] { self->on_deadline(); });
+    choose_service();
+    environment_.retries.on_request(service_->name);
+    place();
+}
+
+bool call::find_route() {
+    report_.configuration_version = configuration_->version();
+    report_.configuration_age_ms =
+        duration_cast<milliseconds>(environment_.loop.now() -
+                                    environment_.fleet.configuration_known_at())
+            .count();
+    route_ = configuration_->find_route(description_.host, request_.target);
+    if (route_ == nullptr) {
+        respond_error(not_found, "no route");
+        return false;
+    }
+    report_.route = route_->name;
+    return true;
+}
+
+bool call::check_key() {
+    if (!configuration_->requires_keys()) {
+        return true;
+    }
+    const fleet_state::organisation* holder =
+        description_.key.empty() ? nullptr
+                                 : configuration_->find_key(description_.key);
+    if (!route_->is_public) {
+        const base::duration age = environment_.loop.now() -
+                                   environment_.fleet.configuration_known_at();
+        if (age > environment_.key_lifetime) {
+            refuse("keys not fresh", store_retry);
+            return false;
+        }
+        if (holder == nullptr) {
+            respond_error(unauthorised, "unknown key");
+            return false;
+        }
+    }
+    organisation_ = holder == nullptr ? "" : holder->name;
+    report_.organisation = organisation_;
+    return true;
+}
+
+void call::choose_service() {
+    const auto& choices = route_->services;
+    std::uint64_t total = 0;
+    for (const auto& choice : choices) {
+        total += choice.weight;
+    }
+    std::uint64_t drawn = base::stable_hash(description_.id) % total;
+    std::string_view name = choices.back().service;
+    for (const auto& choice : choices) {
+        if (drawn < choice.weight) {
+            name = choice.service;
+            break;
+        }
+        drawn -= choice.weight;
+    }
+    static const fleet_state::service unknown{};
+    const fleet_state::service* found = configuration_->find_service(name);
+    service_ = found == nullptr ? &unknown : found;
+    report_.service = service_->name;
+}
+
+void call::place() {
+    attempt_.reset();
+    if (engine_work()) {
+        place_engine();
+    } else {
+        place_plain();
+    }
+}
+
+void call::place_plain() {
+    const auto servers = environment_.servers.available(service_->name);
+    std::vector<overload::plain_candidate> candidates;
+    std::ranges::transform(
+        servers, std::back_inserter(candidates), [&](const auto* server) {
+            return overload::plain_candidate{
+                server, environment_.status.of(server->id).in_flight,
+                environment_.status.reported(server->id),
+                environment_.status.allows(server->id) &&
+                    !avoided_.contains(server->id)};
+        });
+    const auto* chosen =
+        overload::choose_plain(candidates, environment_.failure_domain);
+    if (chosen == nullptr) {
+        // Every server failed of late: one of them may be back.
+        std::ranges::for_each(candidates, [&](auto& candidate) {
+            candidate.allowed = !avoided_.contains(candidate.server->id);
+        });
+        chosen =
+            overload::choose_plain(candidates, environment_.failure_domain);
+    }
+    if (chosen == nullptr) {
+        refuse("no backend server", no_server_retry);
+        return;
+    }
+    placed_at_ = environment_.loop.now();
+    send(*chosen->server);
+}
+
+void call::place_engine() {
+    const auto servers = environment_.servers.available(service_->name);
+    std::vector<const fleet_state::backend_server*> usable;
+    std::ranges::copy_if(servers, std::back_inserter(usable),
+                         [&](const auto* server) {
+                             return !avoided_.contains(server->id) &&
+                                    environment_.status.allows(server->id);
+                         });
+    if (usable.empty()) {
+        std::ranges::copy_if(
+            servers, std::back_inserter(usable),
+            [&](const auto* server) { return !avoided_.contains(server->id); });
+    }
+    const auto chosen = overload::choose_engines(
+        {description_.prompt, environment_.failure_domain,
+         base::stable_hash(description_.id)},
+        usable, engine_candidates);
+    candidates_.clear();
+    std::ranges::transform(chosen, std::back_inserter(candidates_),
+                           [](const auto* server) { return server->id; });
+    next_candidate_ = 0;
+    waiting_round_ = false;
+    if (candidates_.empty()) {
+        refuse("no backend server", no_server_retry);
+        return;
+    }
+    ask_next_engine();
+}
+
+place_request call::make_place_request(
+    const fleet_state::backend_server& server, bool may_wait) const {
+    place_request result;
+    result.engine = start_name(server);
+    result.failure_domain = server.failure_domain;
+    result.options = {.slots = service_->engine_slots,
+                      .memory_tokens = service_->engine_memory_tokens};
+    auto& work = result.work;
+    work.organisation = organisation_;
+    const auto shared = overload::shared_parts(description_.prompt);
+    work.shared.assign(shared.begin(), shared.end());
+    work.own_tokens = description_.prompt.empty()
+                          ? description_.prompt_tokens
+                          : description_.prompt.back().tokens;
+    work.output_tokens =
+        description_.expected_output_tokens.value_or(static_cast<std::uint32_t>(
+            expected_output_share * description_.max_output_tokens));
+    work.cost =
+        description_.prompt_tokens + output_token_cost * work.output_tokens;
+    const auto target = route_->target_latency;
+    work.start_by =
+        response_started_
+            ? environment_.loop.now() + target
+            : request_.arrived_at + duration_cast<base::duration>(
+                                        waiting_share * seconds(target));
+    work.may_wait = may_wait;
+    return result;
+}
+
+void call::ask_next_engine() {
+    const bool last_round = next_candidate_ >= candidates_.size();
+    if (last_round && std::exchange(waiting_round_, true)) {
+        refuse("engines full", shortest_retry_);
+        return;
+    }
+    const std::string id =
+        last_round ? candidates_.front() : candidates_[next_candidate_++];
+    const auto* server = environment_.servers.find_available(id);
+    if (server == nullptr) {
+        if (waiting_round_) {
+            refuse("engines full", no_server_retry);
+        } else {
+            ask_next_engine();
+        }
+        return;
+    }
+    const auto number = environment_.schedule.ask(
+        make_place_request(*server, waiting_round_),
+        [self = shared_from_this(), id](const place_answer& answer) {
+            if (!self->ended_) {
+                self->on_place(answer, id);
+            }
+        });
+    // The answer may have come already, and with it another ask.
+    if (!ended_ && !attempt_ && !place_number_) {
+        place_number_ = number;
+    }
+}
+
+void call::on_place(const place_answer& answer, const std::string& server_id) {
+    report_.owner = answer.owner;
+    if (!answer.granted) {
+        place_number_.reset();
+        shortest_retry_ = std::min(shortest_retry_, answer.retry_after);
+        ask_next_engine();
+        return;
+    }
+    place_number_ = answer.number;
+    placed_at_ = environment_.loop.now();
+    const auto* server = environment_.servers.find_available(server_id);
+    if (server == nullptr) {
+        release_place();
+        ask_next_engine();
+        return;
+    }
+    send(*server);
+}
+
+// The configuration may have changed while the request waited.
+bool call::still_valid() {
+    const auto& newest = environment_.fleet.configuration();
+    if (newest == configuration_) {
+        return true;
+    }
+    configuration_ = newest;
+    if (!find_route() || !check_key()) {
+        return false;
+    }
+    choose_service();
+    return true;
+}
+
+void call::send(const fleet_state::backend_server& server) {
+    if (!still_valid()) {
+        return;
+    }
+    if (std::ranges::find(route_->services, server.service,
+                          &fleet_state::weighted_service::service) ==
+        route_->services.end()) {
+        release_place();
+        place();
+        return;
+    }
+    platform_wire::forwarding added;
+    added.expected_server = server.id;
+    added.organisation = organisation_;
+    added.time_left =
+        std::max(duration_cast<milliseconds>(time_left()), milliseconds(1));
+    if (response_started_) {
+        added.resume_after = relay_.last_id();
+    }
+    outgoing_request outgoing;
+    outgoing.method = request_.method;
+    outgoing.target = request_.target;
+    outgoing.headers = platform_wire::encode_forwarded(request_.headers, added);
+    outgoing.body = request_.body;
+
+    auto& status = environment_.status.of(server.id);
+    ++status.in_flight;
+    ++attempts_sent_;
+    attempt started;
+    started.server = server.id;
+    started.health_epoch = status.health.epoch();
+    started.sent_at = environment_.loop.now();
+    started.connection = environment_.pool.acquire(
+        start_name(server), server.address, route_->repeatable());
+    const auto connection = started.connection;
+    attempt_ = std::move(started);
+    report_.server = server.id;
+    report_.attempts = attempts_sent_;
+    if (report_.placed_after_ms < 0) {
+        report_.placed_after_ms =
+            duration_cast<milliseconds>(placed_at_ - request_.arrived_at)
+                .count();
+    }
+    const auto self = shared_from_this();
+    connection->send(
+        outgoing,
+        {[self](const message_head& head) { return self->on_head(head); },
+         [self](std::string_view bytes) { self->on_body(bytes); },
+         [self, start = start_name(server)](exchange_end how,
+                                            std::string_view reason) {
+             if (self->attempt_ && !self->ended_) {
+                 const auto used = self->attempt_->connection;
+                 self->on_end(how, reason);
+                 if (how == exchange_end::complete) {
+                     self->environment_.pool.release(start, used);
+                 }
+             }
+         }});
+}
+
+bool call::on_head(const message_head& head) {
+    if (!attempt_) {
+        return true;
+    }
+    auto facts = platform_wire::describe_response(head.headers);
+    if (facts.request_id && *facts.request_id != description_.id) {
+        return false;  // A late response to another request.
+    }
+    attempt& now = *attempt_;
+    now.status = head.status;
+    now.headers = head.headers;
+    now.facts = std::move(facts);
+    if (now.facts.keep_alive) {
+        now.connection->set_idle_limit(*now.facts.keep_alive);
+    }
+    if (now.facts.load) {
+        environment_.status.on_report(now.server, *now.facts.load);
+    }
+    now.is_stream = route_->kind == fleet_state::route_kind::streaming &&
+                    head.status == ok && now.facts.has_signature;
+    return true;
+}
+
+void call::on_body(std::string_view bytes) {
+    if (!attempt_ || ended_) {
+        return;
+    }
+    if (attempt_->is_stream) {
+        relay_events(bytes);
+        return;
+    }
+    if (attempt_->body.size() + bytes.size() > max_response_bytes) {
+        attempt_->overflowed = true;
+        return;
+    }
+    attempt_->body.append(bytes);
+}
+
+void call::relay_events(std::string_view bytes) {
+    const std::string_view events = relay_.feed(bytes);
+    if (events.empty()) {
+        return;
+    }
+    if (!std::exchange(response_started_, true)) {
+        report_.status = attempt_->status;
+        const auto now = environment_.loop.now();
+        report_.first_byte_after_ms =
+            duration_cast<milliseconds>(now - request_.arrived_at).count();
+        caller_->begin(attempt_->status, attempt_->headers);
+    }
+    if (place_number_) {
+        const base::duration since = environment_.loop.now() - placed_at_;
+        environment_.schedule.first_event(
+            *place_number_, since,
+            seconds(since) <=
+                (1 - waiting_share) * seconds(route_->target_latency));
+    }
+    report_.events = relay_.events();
+    caller_->write(events);
+    if (caller_->pending() > high_water_bytes) {
+        attempt_->connection->pause();
+        caller_->on_drained(
+            [connection = attempt_->connection] { connection->resume(); });
+    }
+}
+
+overload::attempt_end call::judge(exchange_end how) const {
+    using overload::attempt_end;
+    const attempt& now = *attempt_;
+    if (how == exchange_end::not_sent) {
+        return attempt_end::not_sent;
+    }
+    if (how == exchange_end::broken) {
+        return attempt_end::broken;
+    }
+    if (now.facts.not_run || now.status == misdirected) {
+        return attempt_end::rejected;
+    }
+    if (now.is_stream) {
+        // A stream may properly end without an event.
+        return relay_.has_partial() || relay_.failed() ? attempt_end::broken
+                                                       : attempt_end::answered;
+    }
+    // A response without a signature was not made by the backend server.
+    return now.facts.has_signature && !now.overflowed ? attempt_end::answered
+                                                      : attempt_end::broken;
+}
+
+void call::on_end(exchange_end how, std::string_view reason) {
+    const overload::attempt_end end = judge(how);
+    if (end == overload::attempt_end::rejected &&
+        attempt_->status == misdirected) {
+        environment_.servers.disown(attempt_->server);
+    }
+    const bool good = end == overload::attempt_end::answered &&
+                      attempt_->status < first_server_error;
+    end_attempt(good, how == exchange_end::complete);
+    after_attempt(end, reason);
+}
+
+// Ends the accounting of an attempt. Its data stays for the response.
+void call::end_attempt(bool good, bool keep_connection) {
+    auto& status = environment_.status.of(attempt_->server);
+    status.in_flight -= status.in_flight > 0 ? 1 : 0;
+    environment_.status.on_result(attempt_->server, attempt_->health_epoch,
+                                  good);
+    if (!keep_connection) {
+        attempt_->connection->close();
+    }
+    release_place();
+}
+
+void call::release_place() {
+    if (place_number_) {
+        environment_.schedule.release(
+            *std::exchange(place_number_, std::nullopt));
+    }
+}
+
+void call::after_attempt(overload::attempt_end end, std::string_view reason) {
+    using overload::attempt_end;
+    if (end == attempt_end::not_sent || end == attempt_end::rejected) {
+        attempts_sent_ -= end == attempt_end::not_sent ? 1 : 0;
+    } else {
+        may_have_run_ = true;
+    }
+    overload::attempt_facts facts;
+    facts.end = end;
+    facts.status = attempt_->status;
+    facts.repeatable = route_->repeatable();
+    facts.response_started = response_started_;
+    facts.resumable = route_->resumable;
+    facts.attempts_sent = attempts_sent_;
+    facts.max_attempts = route_->max_attempts;
+    facts.time_left = time_left() > base::duration(0);
+    attempt_action action = overload::decide_after_attempt(facts);
+    if ((action == attempt_action::send_elsewhere &&
+         ++connect_failures_ > max_connect_failures) ||
+        (action == attempt_action::send_again &&
+         !environment_.retries.take(service_->name))) {
+        action = overload::without_repeat(facts);
+    }
+    report_.why = overload::to_string(end);
+    if (end != attempt_end::answered) {
+        environment_.reporter.on_step(
+            report_, absl::StrCat("attempt ", report_.why), reason);
+    }
+    carry_out(action, facts);
+}
+
+void call::carry_out(attempt_action action,
+                     const overload::attempt_facts& facts) {
+    switch (action) {
+        case attempt_action::deliver:
+            deliver();
+            return;
+        case attempt_action::send_again:
+        case attempt_action::send_elsewhere:
+            avoided_.insert(attempt_->server);
+            relay_.restart();
+            place();
+            return;
+        case attempt_action::refuse:
+            refuse(overload::to_string(facts.end), no_server_retry);
+            return;
+        case attempt_action::fail:
+            respond_error(bad_gateway, overload::to_string(facts.end));
+            return;
+        case attempt_action::abort_response:
+            caller_->abort();
+            finish(call_outcome::failed, "stream broken");
+            return;
+    }
+}
+
+void call::deliver() {
+    report_.status = attempt_->status;
+    if (response_started_) {
+        caller_->finish();
+    } else {
+        report_.first_byte_after_ms =
+            duration_cast<milliseconds>(environment_.loop.now() -
+                                        request_.arrived_at)
+                .count();
+        caller_->respond(attempt_->status, attempt_->headers, attempt_->body);
+    }
+    finish(call_outcome::delivered, "");
+}
+
+void call::refuse(std::string_view why, base::duration retry_after) {
+    if (response_started_) {
+        caller_->abort();
+        finish(call_outcome::failed, "stream not resumed");
+        return;
+    }
+    if (may_have_run_) {
+        respond_error(bad_gateway, why);
+        return;
+    }
+    constexpr double steps = 1000;
+    const double draw =
+        static_cast<double>(base::stable_hash(description_.id) % 1000) / steps;
+    const seconds wait =
+        seconds(retry_after) * (1 - retry_spread + 2 * retry_spread * draw);
+    report_.status = unavailable;
+    report_.retry_after_ms = duration_cast<milliseconds>(wait).count();
+    auto headers = platform_wire::refusal_headers(description_.id);
+    headers.push_back({"Content-Type", "application/json"});
+    headers.push_back({"Retry-After", absl::StrFormat("%.3f", wait.count())});
+    caller_->respond(unavailable, headers,
+                     absl::StrCat("{\"error\":\"", std::string(why), "\"}"));
+    finish(call_outcome::refused, why);
+}
+
+void call::respond_error(int status, std::string_view why) {
+    if (response_started_) {
+        caller_->abort();
+        finish(call_outcome::failed, why);
+        return;
+    }
+    report_.status = status;
+    auto headers = platform_wire::refusal_headers(description_.id);
+    headers.push_back({"Content-Type", "application/json"});
+    caller_->respond(status, headers,
+                     absl::StrCat("{\"error\":\"", std::string(why), "\"}"));
+    finish(status < first_server_error ? call_outcome::rejected
+                                       : call_outcome::failed,
+           why);
+}
+
+void call::on_deadline() {
+    deadline_timer_.reset();
+    if (ended_) {
+        return;
+    }
+    const bool in_progress =
+        attempt_ && attempt_->connection && !attempt_->connection->is_closed();
+    if (in_progress) {
+        end_attempt(true, false);
+    }
+    if (in_progress || may_have_run_) {
+        respond_error(gateway_timeout, "deadline passed");
+    } else {
+        refuse("deadline passed while waiting", no_server_retry);
+    }
+}
+
+void call::on_caller_gone() {
+    if (ended_) {
+        return;
+    }
+    if (attempt_ && !attempt_->connection->is_closed()) {
+        end_attempt(true, false);
+    }
+    finish(call_outcome::abandoned, "caller left");
+}
+
+void call::finish(call_outcome outcome, std::string_view why) {
+    if (std::exchange(ended_, true)) {
+        return;
+    }
+    const auto self = shared_from_this();
+    release_place();
+    if (deadline_timer_) {
+        environment_.loop.cancel(*std::exchange(deadline_timer_, std::nullopt));
+    }
+    report_.outcome = outcome;
+    report_.why = why;
+    report_.total_ms = duration_cast<milliseconds>(environment_.loop.now() -
+                                                   request_.arrived_at)
+                           .count();
+    environment_.reporter.on_call(report_);
+    on_end_(this);
+}
+
+}  // namespace bronzehub::entry
--- /dev/null
+++ b/src/entry/call.hpp
@@ -0,0 +1,131 @@
+// The life of one caller's request: route, key, place, attempts, response.
+//
+// The decisions are those of the `overload` and `fleet_state` libraries; a call
+// carries them out and reports each by one log line.
+#ifndef BRONZEHUB_ENTRY_CALL_HPP
+#define BRONZEHUB_ENTRY_CALL_HPP
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "entry/backend_pool.hpp"
+#include "entry/backend_status.hpp"
+#include "entry/call_report.hpp"
+#include "entry/caller_connection.hpp"
+#include "entry/event_relay.hpp"
+#include "entry/fleet_watch.hpp"
+#include "entry/schedule_link.hpp"
+#include "overload/attempt_policy.hpp"
+#include "overload/retry_window.hpp"
+
+namespace bronzehub::entry {
+
+// What calls use; outlives them.
+struct call_environment {
+    event_loop& loop;
+    const fleet_watch& fleet;
+    fleet_state::backend_directory& servers;
+    backend_pool& pool;
+    backend_status& status;
+    schedule_link& schedule;
+    overload::retry_window& retries;
+    call_reporter& reporter;
+    std::string failure_domain;
+    // Keys that were read longer ago than this may have been taken away.
+    base::duration key_lifetime{};
+    // Whether the daemon takes no new requests any more.
+    std::function<bool()> draining;
+};
+
+// Owned by shared pointer, which its callbacks hold until it has ended.
+class call : public std::enable_shared_from_this<call> {
+public:
+    call(call_environment& environment,
+         std::shared_ptr<caller_connection> caller, caller_request request,
+         std::function<void(call*)> on_end);
+
+    void start();
+
+    // The caller left.
+    void on_caller_gone();
+
+private:
+    struct attempt {
+        std::string server;
+        std::uint64_t health_epoch = 0;
+        std::shared_ptr<backend_connection> connection;
+        base::time_point sent_at{};
+        int status = 0;
+        base::http_headers headers;
+        fleet_state::response_description facts;
+        std::string body;
+        bool is_stream = false;
+        bool overflowed = false;
+    };
+
+    bool find_route();
+    bool check_key();
+    void choose_service();
+    void place();
+    void place_plain();
+    void place_engine();
+    void ask_next_engine();
+    void on_place(const place_answer& answer, const std::string& server);
+    place_request make_place_request(const fleet_state::backend_server& server,
+                                     bool may_wait) const;
+    bool still_valid();
+    void send(const fleet_state::backend_server& server);
+    bool on_head(const message_head& head);
+    void on_body(std::string_view bytes);
+    void relay_events(std::string_view bytes);
+    void on_end(exchange_end how, std::string_view reason);
+    overload::attempt_end judge(exchange_end how) const;
+    void after_attempt(overload::attempt_end end, std::string_view reason);
+    void carry_out(overload::attempt_action action,
+                   const overload::attempt_facts& facts);
+    void end_attempt(bool good, bool keep_connection);
+    void release_place();
+    void on_deadline();
+
+    void refuse(std::string_view why, base::duration retry_after);
+    void respond_error(int status, std::string_view why);
+    void deliver();
+    void finish(call_outcome outcome, std::string_view why);
+
+    base::duration time_left() const;
+    bool engine_work() const;
+
+    call_environment& environment_;
+    std::shared_ptr<caller_connection> caller_;
+    caller_request request_;
+    std::function<void(call*)> on_end_;
+    fleet_state::request_description description_;
+    fleet_state::configuration_pointer configuration_;
+    const fleet_state::route* route_ = nullptr;
+    const fleet_state::service* service_ = nullptr;
+    std::string organisation_;
+    base::time_point deadline_{};
+    std::optional<base::timer_id> deadline_timer_;
+    std::optional<std::uint64_t> place_number_;
+    base::time_point placed_at_{};
+    std::vector<std::string> candidates_;
+    std::size_t next_candidate_ = 0;
+    bool waiting_round_ = false;
+    base::duration shortest_retry_ = base::duration::max();
+    std::set<std::string> avoided_;
+    std::optional<attempt> attempt_;
+    event_relay relay_;
+    std::uint32_t attempts_sent_ = 0;
+    std::uint32_t connect_failures_ = 0;
+    bool response_started_ = false;
+    bool may_have_run_ = false;
+    bool ended_ = false;
+    call_report report_;
+};
+
+}  // namespace bronzehub::entry
+
+#endif
--- /dev/null
+++ b/src/entry/caller_connection.hpp
@@ -0,0 +1,113 @@
+// One caller's connection: requests in, responses out, one at a time.
+#ifndef BRONZEHUB_ENTRY_CALLER_CONNECTION_HPP
+#define BRONZEHUB_ENTRY_CALLER_CONNECTION_HPP
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "base/http_header.hpp"
+#include "entry/byte_channel.hpp"
+#include "entry/message_parser.hpp"
+
+namespace bronzehub::entry {
+
+struct caller_request {
+    std::string method;
+    std::string target;
+    base::http_headers headers;
+    std::string body;
+    base::time_point arrived_at{};
+};
+
+struct listener_limits {
+    std::size_t header_bytes = std::size_t{16} * 1024;
+    std::size_t body_bytes = std::size_t{4} * 1024 * 1024;
+    std::chrono::milliseconds header_timeout{3000};
+    std::chrono::milliseconds idle_timeout{15000};
+};
+
+class caller_connection;
+
+struct caller_hooks {
+    // A whole request arrived. Its response ends by `respond`, `finish` or
+    // `abort` on the connection.
+    std::function<void(const std::shared_ptr<caller_connection>&,
+                       caller_request)>
+        on_request;
+    // The caller left before its response ended; called once a request.
+    std::function<void(caller_connection&)> on_gone;
+    std::function<void(caller_connection&)> on_closed;
+    std::function<listener_limits()> limits;
+    // Whether responses ask the caller to close the connection.
+    std::function<bool()> closing;
+};
+
+// Not thread-safe; owned by shared pointer.
+class caller_connection
+    : public std::enable_shared_from_this<caller_connection> {
+public:
+    caller_connection(event_loop& loop, asio::ip::tcp::socket socket,
+                      std::shared_ptr<const caller_hooks> hooks);
+
+    void start();
+
+    // Sends a whole response. Framing fields in `headers` are left out.
+    void respond(int status, const base::http_headers& headers,
+                 std::string_view body);
+
+    // A response whose length is not known: head, parts, end.
+    void begin(int status, const base::http_headers& headers);
+    void write(std::string_view bytes);
+    void finish();
+
+    // Ends the connection so that the response does not look complete.
+    void abort();
+
+    // Closes the connection if it has no request.
+    void close_idle();
+
+    bool is_open() const { return channel_->is_open(); }
+    bool in_call() const { return in_call_; }
+    std::size_t pending() const { return channel_->pending(); }
+
+    // Called when everything written has been sent; replaces an earlier hook.
+    void on_drained(std::function<void()> hook) { drained_ = std::move(hook); }
+
+private:
+    void on_bytes(std::string_view bytes);
+    void parse(std::string_view bytes);
+    void on_head(const message_head& head);
+    void on_body(std::string_view bytes);
+    void on_request_complete();
+    void on_channel_closed();
+    void reject(int status);
+    void end_call();
+    void arm_timeout(base::duration delay);
+    void disarm_timeout();
+    std::string encode_head(int status, const base::http_headers& headers,
+                            std::string_view framing) const;
+
+    event_loop& loop_;
+    std::shared_ptr<byte_channel> channel_;
+    std::shared_ptr<const caller_hooks> hooks_;
+    message_parser parser_;
+    caller_request request_;
+    std::string early_;
+    std::function<void()> drained_;
+    std::optional<base::timer_id> timeout_;
+    bool in_call_ = false;
+    bool keep_alive_ = true;
+    bool head_request_ = false;
+    bool parsing_ = false;
+    bool rejected_ = false;
+};
+
+// The reason phrase of a status.
+std::string_view reason_phrase(int status);
+
+}  // namespace bronzehub::entry
+
+#endif
--- /dev/null
+++ b/src/entry/entry_node.cpp
@@ -0,0 +1,445 @@
+#include "entry/entry_node.hpp"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <asio/buffer.hpp>
+#include <asio/ip/address.hpp>
+#include <charconv>
+#include <csignal>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <sstream>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "platform/wire_names.hpp"
+
+namespace bronzehub::entry {
+namespace {
+
+using asio::ip::udp;
+using logging::field;
+using std::chrono::milliseconds;
+
+constexpr milliseconds flush_interval{50};
+constexpr milliseconds schedule_tick{10};
+constexpr milliseconds housekeeping_interval{500};
+constexpr milliseconds drain_check{50};
+constexpr milliseconds settings_check{2000};
+constexpr milliseconds omitted_interval{10000};
+// Taken off the revocation bound for the time in which the store may hold a
+// change back from its watchers, and for the way of a request.
+constexpr milliseconds key_margin{1500};
+
+constexpr int ok = 200;
+constexpr int not_found = 404;
+constexpr int unavailable = 503;
+
+logging::level level_of(std::string_view name) {
+    using logging::level;
+    for (const level value : {level::debug, level::info, level::warning}) {
+        if (name == logging::to_string(value)) {
+            return value;
+        }
+    }
+    return level::error;
+}
+
+std::uint64_t random_incarnation() {
+    std::random_device source;
+    return (std::uint64_t{source()} << 20U) ^ source();
+}
+
+base::duration from_ms(double value) {
+    return std::chrono::duration_cast<base::duration>(
+        std::chrono::duration<double, std::milli>(value));
+}
+
+bool parse_udp(const std::string& text, udp::endpoint& result) {
+    const std::size_t colon = text.rfind(':');
+    std::uint16_t port = 0;
+    asio::error_code error;
+    if (colon == std::string::npos) {
+        return false;
+    }
+    const auto ip = asio::ip::make_address(text.substr(0, colon), error);
+    const auto parsed = std::from_chars(text.data() + colon + 1,
+                                        text.data() + text.size(), port);
+    result = udp::endpoint(ip, port);
+    return !error && parsed.ec == std::errc();
+}
+
+std::string read_text(const std::string& path) {
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+caller_hooks simple_hooks(
+    std::function<void(const std::shared_ptr<caller_connection>&,
+                       caller_request)>
+        on_request) {
+    caller_hooks hooks;
+    hooks.on_request = std::move(on_request);
+    hooks.on_gone = [](caller_connection&) {};
+    hooks.limits = [] { return listener_limits{}; };
+    hooks.closing = [] { return false; };
+    return hooks;
+}
+
+}  // namespace
+
+entry_node::entry_node(entry_settings settings, std::string settings_path)
+    : settings_(std::move(settings)),
+      settings_path_(std::move(settings_path)),
+      settings_text_(read_text(settings_path_)),
+      lines_(STDOUT_FILENO),
+      log_({level_of(settings_.log.level), {}}, lines_.sink()),
+      incarnation_(random_incarnation()),
+      servers_({}, loop_.clock()),
+      hosts_({settings_.host.name, settings_.listeners.peers,
+              settings_.host.failure_domain},
+             loop_.clock()),
+      pool_(loop_),
+      status_(loop_.clock()),
+      retries_({settings_.bounds.retry_ratio, settings_.bounds.retry_extra,
+                from_ms(settings_.bounds.retry_window_ms)},
+               loop_.clock()),
+      reporter_(log_, figures_, loop_.clock()),
+      datagrams_(loop_.context()),
+      schedule_(
+          hosts_, loop_.clock(),
+          {[this](base::duration delay, std::function<void()> run) {
+               return loop_.after(delay, std::move(run));
+           },
+           [this](base::timer_id id) { loop_.cancel(id); }},
+          [this](const std::string& address, std::string_view bytes) {
+              send_datagram(address, bytes);
+          },
+          incarnation_),
+      fleet_(loop_, settings_.store.address, servers_, hosts_, incarnation_,
+             log_,
+             {[](const fleet_state::configuration_pointer&) {},
+              [this](const std::vector<fleet_state::directory_change>& all) {
+                  for (const auto& change : all) {
+                      if (change.what ==
+                          fleet_state::directory_change::kind::removed) {
+                          status_.forget(change.id);
+                      }
+                  }
+              }}),
+      environment_{loop_,
+                   fleet_,
+                   servers_,
+                   pool_,
+                   status_,
+                   schedule_,
+                   retries_,
+                   reporter_,
+                   settings_.host.failure_domain,
+                   from_ms(settings_.bounds.revocation_ms) - key_margin,
+                   [this] {
+                       return stopping_ && loop_.now() - stopping_since_ >
+                                               serve_on_after_stop;
+                   }},
+      callers_(loop_,
+               {[this](const std::shared_ptr<caller_connection>& caller,
+                       caller_request request) {
+                    on_request(caller, std::move(request));
+                },
+                [this](caller_connection& caller) { on_gone(caller); }, nullptr,
+                [this] {
+                    listener_limits limits;
+                    if (const auto& configuration = fleet_.configuration()) {
+                        const auto& from = configuration->limits();
+                        limits = {from.header_bytes, from.body_bytes,
+                                  from.header_timeout, from.idle_timeout};
+                    }
+                    return limits;
+                },
+                [this] { return stopping_; }}),
+      readiness_(loop_, simple_hooks([this](const auto& caller, const auto&) {
+                     on_ready_request(caller);
+                 })),
+      operators_(loop_,
+                 simple_hooks([this](const auto& caller, const auto& request) {
+                     on_operator_request(caller, request);
+                 })),
+      signals_(loop_.context(), SIGTERM, SIGINT, SIGHUP) {}
+
+absl::Status entry_node::start() {
+    log_.info("starting",
+              {field("host", settings_.host.name),
+               field("failure_domain", settings_.host.failure_domain),
+               field("incarnation", incarnation_),
+               field("store", settings_.store.address)});
+    for (const auto& status :
+         {open_datagrams(), callers_.listen(settings_.listeners.callers),
+          readiness_.listen(settings_.listeners.readiness),
+          operators_.listen(settings_.listeners.operators)}) {
+        if (!status.ok()) {
+            log_.error("start failed", {field("cause", status)});
+            lines_.flush();
+            return status;
+        }
+    }
+    listen_for_signals();
+    fleet_.start();
+    loop_.every(flush_interval, [this] { lines_.flush(); });
+    loop_.every(schedule_tick, [this] { schedule_.tick(); });
+    loop_.every(schedule_link::inventory_interval,
+                [this] { schedule_.exchange_inventory(); });
+    loop_.every(housekeeping_interval, [this] { housekeeping(); });
+    loop_.every(omitted_interval, [this] { reporter_.report_omitted(); });
+    loop_.every(settings_check, [this] { reload(); });
+    return absl::OkStatus();
+}
+
+int entry_node::run() {
+    loop_.run();
+    log_.info("stopped", {field("calls_left", calls_.size())});
+    lines_.flush();
+    return 0;
+}
+
+void entry_node::listen_for_signals() {
+    signals_.async_wait([this](const asio::error_code& error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            log_.info("reload requested", {});
+            reload();
+        } else if (!stopping_) {
+            begin_drain();
+        }
+        listen_for_signals();
+    });
+}
+
+void entry_node::reload() {
+    std::string text = read_text(settings_path_);
+    if (text.empty() || text == settings_text_) {
+        return;
+    }
+    settings_text_ = std::move(text);
+    const auto loaded = parse_entry_settings(settings_text_);
+    if (!loaded.ok()) {
+        log_.error("settings unusable; the old ones stay in force",
+                   {field("cause", loaded.status())});
+        return;
+    }
+    const bool needs_restart =
+        loaded->listeners.callers != settings_.listeners.callers ||
+        loaded->listeners.peers != settings_.listeners.peers ||
+        loaded->store.address != settings_.store.address ||
+        loaded->host.name != settings_.host.name;
+    settings_.bounds = loaded->bounds;
+    environment_.key_lifetime =
+        from_ms(settings_.bounds.revocation_ms) - key_margin;
+    log_.info("settings reloaded", {field("needs_restart", needs_restart)});
+}
+
+void entry_node::begin_drain() {
+    stopping_ = true;
+    stopping_since_ = loop_.now();
+    log_.info("draining", {field("calls", calls_.size()),
+                           field("connections", callers_.connections())});
+    loop_.after(serve_on_after_stop, [this] { callers_.close_idle(); });
+    loop_.every(drain_check, [this] { check_drained(); });
+}
+
+void entry_node::check_drained() {
+    const base::duration since = loop_.now() - stopping_since_;
+    const base::duration grace = from_ms(settings_.bounds.grace_period_ms);
+    const bool done = since > serve_on_after_stop && calls_.empty();
+    if (done || since > grace - exit_margin) {
+        loop_.stop();
+    }
+}
+
+absl::Status entry_node::open_datagrams() {
+    udp::endpoint endpoint;
+    asio::error_code error;
+    if (!parse_udp(settings_.listeners.peers, endpoint)) {
+        return absl::InvalidArgumentError(absl::StrCat(
+            "peers: found ", settings_.listeners.peers, ", expected IP:port"));
+    }
+    std::ignore = datagrams_.open(endpoint.protocol(), error);
+    if (!error) {
+        std::ignore = datagrams_.bind(endpoint, error);
+    }
+    if (!error) {
+        std::ignore = datagrams_.non_blocking(true, error);
+    }
+    if (error) {
+        return absl::UnavailableError(absl::StrCat("cannot receive on ",
+                                                   settings_.listeners.peers,
+                                                   ": ", error.message()));
+    }
+    receive_datagrams();
+    return absl::OkStatus();
+}
+
+void entry_node::receive_datagrams() {
+    datagrams_.async_wait(
+        udp::socket::wait_read, [this](const asio::error_code& error) {
+            if (error) {
+                return;
+            }
+            for (;;) {
+                udp::endpoint sender;
+                asio::error_code failed;
+                const std::size_t size = datagrams_.receive_from(
+                    asio::buffer(datagram_buffer_), sender, 0, failed);
+                if (failed) {
+                    break;
+                }
+                schedule_.on_datagram(
+                    absl::StrCat(sender.address().to_string(), ":",
+                                 sender.port()),
+                    std::string_view(datagram_buffer_.data(), size));
+            }
+            receive_datagrams();
+        });
+}
+
+void entry_node::send_datagram(const std::string& address,
+                               std::string_view bytes) {
+    udp::endpoint endpoint;
+    if (!parse_udp(address, endpoint)) {
+        ++datagram_failures_;
+        return;
+    }
+    asio::error_code error;
+    datagrams_.send_to(asio::buffer(bytes.data(), bytes.size()), endpoint, 0,
+                       error);
+    // A lost datagram is sent again by its timer.
+    datagram_failures_ += error ? 1 : 0;
+}
+
+void entry_node::on_request(const std::shared_ptr<caller_connection>& caller,
+                            caller_request request) {
+    auto started = std::make_shared<call>(
+        environment_, caller, std::move(request),
+        [this, key = caller.get()](call*) { calls_.erase(key); });
+    calls_[caller.get()] = started;
+    started->start();
+}
+
+void entry_node::on_gone(caller_connection& caller) {
+    const auto found = calls_.find(&caller);
+    if (found != calls_.end()) {
+        const auto left = found->second;
+        left->on_caller_gone();
+    }
+}
+
+bool entry_node::is_ready() const {
+    return !stopping_ && fleet_.is_ready();
+}
+
+void entry_node::on_ready_request(
+    const std::shared_ptr<caller_connection>& caller) {
+    caller->respond(is_ready() ? ok : unavailable, {}, "");
+}
+
+void entry_node::on_operator_request(
+    const std::shared_ptr<caller_connection>& caller,
+    const caller_request& request) {
+    if (request.target == "/metrics") {
+        refresh_figures();
+        caller->respond(ok, {{"Content-Type", "text/plain; version=0.0.4"}},
+                        figures_.expose());
+    } else if (request.target == "/dump") {
+        caller->respond(ok, {{"Content-Type", "application/json"}}, dump());
+    } else {
+        caller->respond(not_found, {}, "");
+    }
+}
+
+void entry_node::refresh_figures() {
+    const auto set = [this](const char* name, const char* help, double value) {
+        figures_.add_gauge(name, help).set(value);
+    };
+    const auto store = fleet_.read();
+    const auto schedule = schedule_.read();
+    set("bronzehub_entry_store_calls", "Calls of the store since the start.",
+        static_cast<double>(store.calls));
+    set("bronzehub_entry_store_failures",
+        "Calls of the store without a usable response.",
+        static_cast<double>(store.failures));
+    set("bronzehub_entry_bad_rows", "Rows of the store that were unreadable.",
+        static_cast<double>(store.bad_rows));
+    set("bronzehub_entry_asks", "Places on engines that were asked for.",
+        static_cast<double>(schedule.asks));
+    set("bronzehub_entry_owners_passed_over",
+        "Owners that left an ask unanswered.",
+        static_cast<double>(schedule.owners_passed_over));
+    set("bronzehub_entry_engine_running",
+        "Requests on the engines that this host schedules for.",
+        static_cast<double>(schedule.running));
+    set("bronzehub_entry_engine_waiting",
+        "Requests that wait for the engines that this host schedules for.",
+        static_cast<double>(schedule.waiting));
+    set("bronzehub_entry_connections_opened",
+        "Connections opened to backend servers.",
+        static_cast<double>(pool_.opened()));
+    set("bronzehub_entry_connections_reused",
+        "Requests to backend servers on a kept connection.",
+        static_cast<double>(pool_.reused()));
+    set("bronzehub_entry_log_lines_dropped",
+        "Log lines that the reader left no room for.",
+        static_cast<double>(lines_.dropped()));
+    set("bronzehub_entry_configuration_age_seconds",
+        "Time since the configuration was certainly the newest.",
+        std::chrono::duration<double>(loop_.now() -
+                                      fleet_.configuration_known_at())
+            .count());
+}
+
+std::string entry_node::dump() {
+    const auto schedule = schedule_.read();
+    nlohmann::json result = {
+        {"host", settings_.host.name},
+        {"failure_domain", settings_.host.failure_domain},
+        {"incarnation", incarnation_},
+        {"ready", is_ready()},
+        {"stopping", stopping_},
+        {"configuration_version",
+         fleet_.configuration() ? fleet_.configuration()->version() : 0},
+        {"hosts", hosts_.announced()},
+        {"calls", calls_.size()},
+        {"schedules", schedule.schedules},
+        {"engine_running", schedule.running},
+        {"engine_waiting", schedule.waiting}};
+    for (const auto& [id, server] : servers_.all()) {
+        result["backend_servers"][id] = {
+            {"service", server.service},
+            {"address", server.address},
+            {"draining", server.state == fleet_state::backend_state::draining},
+            {"health", capacity::to_string(status_.of(id).health.state())},
+            {"in_flight", status_.of(id).in_flight}};
+    }
+    return result.dump();
+}
+
+void entry_node::housekeeping() {
+    pool_.reap();
+    retries_.set_hosts(hosts_.announced());
+    if (is_ready() != was_ready_) {
+        was_ready_ = is_ready();
+        log_.info("readiness changed", {field("ready", was_ready_)});
+    }
+    schedule_.forget_engines([this](std::string_view engine) {
+        const std::string_view id = engine.substr(0, engine.rfind('/'));
+        return servers_.find_available(id) != nullptr;
+    });
+}
+
+}  // namespace bronzehub::entry
--- /dev/null
+++ b/src/entry/entry_settings.cpp
@@ -0,0 +1,132 @@
+#include "entry/entry_settings.hpp"
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <sstream>
+
+#include "absl/strings/str_cat.h"
+#include "base/json_fields.hpp"
+
+namespace bronzehub::base {
+
+using entry::entry_settings;
+
+namespace {
+
+bool is_address(std::string_view text) {
+    const std::size_t colon = text.rfind(':');
+    const std::string_view port =
+        colon == std::string_view::npos ? "" : text.substr(colon + 1);
+    return colon != std::string_view::npos && colon > 0 && !port.empty() &&
+           port.size() <= 5 && std::ranges::all_of(port, [](char c) {
+               return c >= '0' && c <= '9';
+           });
+}
+
+bool is_name(std::string_view text) {
+    return !text.empty();
+}
+
+bool is_level(std::string_view text) {
+    constexpr std::array<std::string_view, 4> levels{"debug", "info", "warning",
+                                                     "error"};
+    return std::ranges::find(levels, text) != levels.end();
+}
+
+constexpr text_rule address_rule{"IP:port", is_address};
+constexpr text_rule name_rule{"a name", is_name};
+constexpr text_rule level_rule{"debug, info, warning or error", is_level};
+// From the shortest round trip that makes sense to an hour.
+constexpr number_range time_ms{1, 3'600'000};
+constexpr number_range share{0, 10};
+constexpr number_range count{0, 1'000'000};
+
+}  // namespace
+
+template <>
+struct json_form<entry::entry_host_settings> {
+    static void fields(auto& form, auto& value) {
+        form.required("name", value.name, name_rule);
+        form.required("failure_domain", value.failure_domain, name_rule);
+    }
+};
+
+template <>
+struct json_form<entry::entry_listener_settings> {
+    static void fields(auto& form, auto& value) {
+        form.required("callers", value.callers, address_rule);
+        form.required("readiness", value.readiness, address_rule);
+        form.required("operators", value.operators, address_rule);
+        form.required("peers", value.peers, address_rule);
+    }
+};
+
+template <>
+struct json_form<entry::entry_store_settings> {
+    static void fields(auto& form, auto& value) {
+        form.required("address", value.address, address_rule);
+    }
+};
+
+template <>
+struct json_form<entry::entry_bound_settings> {
+    static void fields(auto& form, auto& value) {
+        form.optional("revocation_ms", value.revocation_ms, time_ms);
+        form.optional("grace_period_ms", value.grace_period_ms, time_ms);
+        form.optional("retry_ratio", value.retry_ratio, share);
+        form.optional("retry_extra", value.retry_extra, count);
+        form.optional("retry_window_ms", value.retry_window_ms, time_ms);
+    }
+};
+
+template <>
+struct json_form<entry::entry_log_settings> {
+    static void fields(auto& form, auto& value) {
+        form.optional("level", value.level, level_rule);
+    }
+};
+
+template <>
+struct json_form<entry_settings> {
+    static void fields(auto& form, auto& value) {
+        form.required("host", value.host);
+        form.required("listeners", value.listeners);
+        form.required("store", value.store);
+        form.optional("bounds", value.bounds);
+        form.optional("log", value.log);
+    }
+};
+
+}  // namespace bronzehub::base
+
+namespace bronzehub::entry {
+
+absl::StatusOr<entry_settings> parse_entry_settings(std::string_view text) {
+    base::json_faults faults;
+    const auto document =
+        base::parse_json(text, faults, base::json_comments::ignored);
+    entry_settings result;
+    if (!document.is_discarded()) {
+        const std::string root;
+        base::read_value(base::detail::place{document, root, faults}, result,
+                         base::any_value{});
+    }
+    if (!faults.empty()) {
+        return base::status_of(faults);
+    }
+    return result;
+}
+
+absl::StatusOr<entry_settings> load_entry_settings(const std::string& path) {
+    std::ifstream file(path);
+    if (!file) {
+        return absl::NotFoundError(
+            absl::StrCat("settings file ", path, " cannot be read"));
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parse_entry_settings(text.str());
+}
+
+}  // namespace bronzehub::entry
--- /dev/null
+++ b/src/entry/event_loop.cpp
@@ -0,0 +1,57 @@
+#include "entry/event_loop.hpp"
+
+#include <algorithm>
+#include <ctime>
+#include <utility>
+
+namespace bronzehub::entry {
+namespace {
+
+// Timers due within this time run together, which saves wake-ups.
+constexpr std::chrono::milliseconds timer_slack{2};
+
+}  // namespace
+
+base::clock boot_clock() {
+    return base::clock([] {
+        timespec now{};
+        clock_gettime(CLOCK_BOOTTIME, &now);
+        return base::time_point(std::chrono::seconds(now.tv_sec) +
+                                std::chrono::nanoseconds(now.tv_nsec));
+    });
+}
+
+event_loop::event_loop() : clock_(boot_clock()), timer_(context_) {}
+
+base::timer_id event_loop::after(base::duration delay,
+                                 base::timer_queue::callback run) {
+    const auto id = timers_.schedule(now() + delay, std::move(run));
+    arm();
+    return id;
+}
+
+void event_loop::every(base::duration interval,
+                       const std::function<void()>& run) {
+    run();
+    after(interval, [this, interval, run] { every(interval, run); });
+}
+
+void event_loop::arm() {
+    const auto due = timers_.next_due();
+    if (!due || (armed_for_ && *armed_for_ <= *due)) {
+        return;
+    }
+    armed_for_ = due;
+    const auto delay = std::max<base::duration>(*due - now(), timer_slack);
+    timer_.expires_after(delay);
+    timer_.async_wait([this](const asio::error_code& error) {
+        if (error) {
+            return;  // Armed anew for an earlier time.
+        }
+        armed_for_.reset();
+        timers_.run_due(now());
+        arm();
+    });
+}
+
+}  // namespace bronzehub::entry
--- /dev/null
+++ b/src/entry/event_relay.hpp
@@ -0,0 +1,50 @@
+// Relays a server-sent event stream by whole events and remembers the last id,
+// so that the stream can go on elsewhere without a gap or a repeat.
+#ifndef BRONZEHUB_ENTRY_EVENT_RELAY_HPP
+#define BRONZEHUB_ENTRY_EVENT_RELAY_HPP
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace bronzehub::entry {
+
+// Not thread-safe.
+class event_relay {
+public:
+    // Events larger than this are an error of the backend server.
+    static constexpr std::size_t max_event_bytes = std::size_t{1024} * 1024;
+
+    // Adds bytes; returns the whole events to pass on. The view is valid until
+    // the next call.
+    std::string_view feed(std::string_view bytes);
+
+    // The stream goes on at another server: a partial event is dropped, and
+    // events that were passed on already are left out when they come again.
+    void restart();
+
+    std::optional<std::uint64_t> last_id() const { return last_id_; }
+    std::uint64_t events() const { return events_; }
+    // An event has begun and not ended.
+    bool has_partial() const { return !partial_.empty(); }
+    // An event was too large, or one is missing behind a restart.
+    bool failed() const { return failed_; }
+
+private:
+    bool accept(std::string_view event);
+
+    std::string partial_;
+    std::string whole_;
+    std::optional<std::uint64_t> last_id_;
+    std::uint64_t events_ = 0;
+    bool restarted_ = false;
+    bool failed_ = false;
+};
+
+// The id of an event, if it has a numeric one.
+std::optional<std::uint64_t> event_id(std::string_view event);
+
+}  // namespace bronzehub::entry
+
+#endif
--- /dev/null
+++ b/src/entry/host_directory.cpp
@@ -0,0 +1,102 @@
+#include "entry/host_directory.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/hash.hpp"
+
+namespace bronzehub::entry {
+
+using nlohmann::json;
+
+std::string encode_host(const entry_host& host, std::uint64_t incarnation) {
+    return json{{"address", host.address},
+                {"failure_domain", host.failure_domain},
+                {"incarnation", incarnation}}
+        .dump();
+}
+
+std::optional<entry_host> decode_host(std::string_view name,
+                                      std::string_view text) {
+    const json from = json::parse(text, nullptr, false);
+    if (!from.is_object() || !from.contains("address") ||
+        !from["address"].is_string() || !from.contains("failure_domain") ||
+        !from["failure_domain"].is_string()) {
+        return std::nullopt;
+    }
+    return entry_host{std::string(name), from["address"].get<std::string>(),
+                      from["failure_domain"].get<std::string>()};
+}
+
+host_directory::host_directory(entry_host self, base::clock clock)
+    : self_(std::move(self)), clock_(std::move(clock)) {}
+
+void host_directory::on_announcement(const entry_host& host,
+                                     std::uint64_t row_version) {
+    if (host.name == self_.name) {
+        return;
+    }
+    entry& known = hosts_[host.name];
+    if (known.row_version == row_version) {
+        return;
+    }
+    known.host = host;
+    known.row_version = row_version;
+    known.announced_at = clock_.now();
+}
+
+void host_directory::on_silent(std::string_view name) {
+    const auto found = hosts_.find(name);
+    if (found == hosts_.end()) {
+        return;
+    }
+    entry& known = found->second;
+    known.suspicion = std::clamp<base::duration>(
+        2 * known.suspicion, first_suspicion, longest_suspicion);
+    known.suspect_until = clock_.now() + known.suspicion;
+}
+
+void host_directory::on_heard(std::string_view name) {
+    const auto found = hosts_.find(name);
+    if (found != hosts_.end()) {
+        found->second.suspicion = {};
+        found->second.suspect_until = {};
+    }
+}
+
+const entry_host& host_directory::owner(std::string_view engine,
+                                        std::string_view failure_domain) const {
+    const base::time_point now = clock_.now();
+    const std::uint64_t key = base::stable_hash(engine);
+    const entry_host* best = &self_;
+    std::pair<bool, std::uint64_t> best_rank{
+        self_.failure_domain == failure_domain,
+        base::stable_hash(self_.name, key)};
+    for (const auto& [name, known] : hosts_) {
+        if (known.suspect_until > now) {
+            continue;
+        }
+        const std::pair<bool, std::uint64_t> rank{
+            known.host.failure_domain == failure_domain,
+            base::stable_hash(name, key)};
+        if (rank > best_rank) {
+            best = &known.host;
+            best_rank = rank;
+        }
+    }
+    return *best;
+}
+
+std::size_t host_directory::announced() const {
+    return hosts_.size() + 1;
+}
+
+void host_directory::expire() {
+    const base::time_point now = clock_.now();
+    std::erase_if(hosts_, [&](const auto& item) {
+        return now - item.second.announced_at > announcement_lifetime;
+    });
+}
+
+}  // namespace bronzehub::entry
--- /dev/null
+++ b/src/entry/host_directory.hpp
@@ -0,0 +1,78 @@
+// The other entry hosts, and which of them schedules for which engine.
+//
+// Hosts announce themselves by rows of a table that each of them rewrites every
+// few seconds. An answer that stays out makes a host suspect for a while, so
+// that its engines pass to the next host at once. Decides only; no I/O.
+#ifndef BRONZEHUB_ENTRY_HOST_DIRECTORY_HPP
+#define BRONZEHUB_ENTRY_HOST_DIRECTORY_HPP
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.hpp"
+
+namespace bronzehub::entry {
+
+struct entry_host {
+    std::string name;
+    // "IP:port" for datagrams.
+    std::string address;
+    std::string failure_domain;
+};
+
+// The row in which a host announces itself.
+std::string encode_host(const entry_host& host, std::uint64_t incarnation);
+// Nothing for a row that is not an announcement.
+std::optional<entry_host> decode_host(std::string_view name,
+                                      std::string_view text);
+
+// Not thread-safe.
+class host_directory {
+public:
+    // Announcements are written at this interval.
+    static constexpr std::chrono::seconds announce_interval{4};
+    // A row that did not change for this long is of a host that is gone.
+    static constexpr std::chrono::seconds announcement_lifetime{13};
+    static constexpr std::chrono::milliseconds first_suspicion{1000};
+    static constexpr std::chrono::milliseconds longest_suspicion{8000};
+
+    host_directory(entry_host self, base::clock clock);
+
+    // A row as read from the table.
+    void on_announcement(const entry_host& host, std::uint64_t row_version);
+
+    void on_silent(std::string_view name);
+    void on_heard(std::string_view name);
+
+    // The host that schedules for an engine: of its failure domain while one
+    // of those is in sight, else of all.
+    const entry_host& owner(std::string_view engine,
+                            std::string_view failure_domain) const;
+
+    const entry_host& self() const { return self_; }
+    // Hosts that announced themselves lately, this one included.
+    std::size_t announced() const;
+    // Forgets hosts whose announcements ended.
+    void expire();
+
+private:
+    struct entry {
+        entry_host host;
+        std::uint64_t row_version = 0;
+        base::time_point announced_at;
+        base::time_point suspect_until{};
+        base::duration suspicion{};
+    };
+
+    entry_host self_;
+    base::clock clock_;
+    std::map<std::string, entry, std::less<>> hosts_;
+};
+
+}  // namespace bronzehub::entry
+
+#endif
--- /dev/null
+++ b/src/entry/main.cpp
@@ -0,0 +1,55 @@
+// bronzehub-entryd: the entry daemon on a platform that brings its own
+// registry, configuration and store.
+#include <docopt.h>
+
+#include <csignal>
+#include <iostream>
+
+#include "entry/entry_node.hpp"
+#include "entry/entry_settings.hpp"
+
+namespace {
+
+constexpr const char* usage = R"(bronzehub-entryd - entry daemon of bronzehub.
+
+Usage:
+  bronzehub-entryd --settings FILE
+  bronzehub-entryd --settings FILE --check
+  bronzehub-entryd (-h | --help)
+
+Options:
+  --settings FILE  Settings file, JSON with comments.
+  --check          Check the settings, report every fault and exit.
+  -h --help        Show this text.
+
+Signals:
+  SIGTERM, SIGINT  Drain: not ready at once, serve on while callers still come,
+                   finish what runs, exit 0.
+  SIGHUP           Read the settings file again.
+
+Exit codes: 0 done, 1 failed, 2 usage, 4 invalid settings.
+)";
+
+constexpr int exit_failed = 1;
+constexpr int exit_bad_settings = 4;
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true);
+    const std::string path = arguments.at("--settings").asString();
+    const auto settings = bronzehub::entry::load_entry_settings(path);
+    if (!settings.ok()) {
+        std::cerr << path << ": " << settings.status().ToString() << '\n';
+        return exit_bad_settings;
+    }
+    if (arguments.at("--check").asBool()) {
+        return 0;
+    }
+    bronzehub::entry::entry_node node(*settings, path);
+    if (!node.start().ok()) {
+        return exit_failed;
+    }
+    return node.run();
+}
--- /dev/null
+++ b/src/fleet_state/configuration_test.cpp
@@ -0,0 +1,57 @@
+#include "fleet_state/configuration.hpp"
+
+#include <catch2/catch.hpp>
+
+using bronzehub::fleet_state::configuration;
+using bronzehub::fleet_state::configuration_content;
+using bronzehub::fleet_state::route;
+
+namespace {
+
+route make_route(const std::string& name, const std::string& prefix) {
+    route result;
+    result.name = name;
+    result.host = "Shop.example";
+    result.path_prefix = prefix;
+    result.services = {{"s", 1}};
+    return result;
+}
+
+configuration make_configuration() {
+    configuration_content content;
+    content.routes = {make_route("all", "/"), make_route("a", "/a/"),
+                      make_route("ab", "/a/b/")};
+    content.organisations = {{"one", {}}};
+    content.keys = {{"key-1", 0}};
+    content.requires_keys = true;
+    return configuration(std::move(content));
+}
+
+}  // namespace
+
+// Guards against a request that runs at the service of a shorter prefix.
+TEST_CASE("the longest prefix that begins the path selects the route") {
+    const auto [host, path, expected] =
+        GENERATE(table<std::string, std::string, std::string>({
+            {"shop.example", "/a/b/c", "ab"},
+            {"shop.example", "/a/b/", "ab"},
+            {"shop.example", "/a/b", "a"},
+            {"shop.example", "/a/x?y=/a/b/", "a"},
+            {"SHOP.example:80", "/a/", "a"},
+            {"shop.example", "/ab/", "all"},
+            {"shop.example", "/", "all"},
+            {"other.example", "/a/", ""},
+            {"shop.example", "", ""},
+        }));
+    const configuration tested = make_configuration();
+    const route* found = tested.find_route(host, path);
+    CHECK((found == nullptr ? "" : found->name) == expected);
+}
+
+// Guards against a key that is taken for another organisation's.
+TEST_CASE("a key names its holder") {
+    const configuration tested = make_configuration();
+    REQUIRE(tested.find_key("key-1") != nullptr);
+    CHECK(tested.find_key("key-1")->name == "one");
+    CHECK(tested.find_key("key-2") == nullptr);
+}
--- /dev/null
+++ b/src/overload/attempt_policy.cpp
@@ -0,0 +1,74 @@
+#include "overload/attempt_policy.hpp"
+
+namespace bronzehub::overload {
+namespace {
+
+constexpr int first_server_error = 500;
+// The backend server's own deadline passed; another one has no time either.
+constexpr int gateway_timeout = 504;
+
+}  // namespace
+
+attempt_action without_repeat(const attempt_facts& facts) {
+    if (facts.end == attempt_end::answered) {
+        return attempt_action::deliver;
+    }
+    if (facts.response_started) {
+        return attempt_action::abort_response;
+    }
+    switch (facts.end) {
+        case attempt_end::not_sent:
+        case attempt_end::rejected:
+            return attempt_action::refuse;
+        case attempt_end::answered:
+        case attempt_end::broken:
+            break;
+    }
+    return attempt_action::fail;
+}
+
+attempt_action decide_after_attempt(const attempt_facts& facts) {
+    if (facts.end == attempt_end::not_sent && facts.time_left) {
+        return attempt_action::send_elsewhere;
+    }
+    const bool may_send =
+        facts.time_left && facts.attempts_sent < facts.max_attempts;
+    if (!may_send) {
+        return without_repeat(facts);
+    }
+    switch (facts.end) {
+        case attempt_end::rejected:
+            return attempt_action::send_again;
+        case attempt_end::broken:
+            if (facts.response_started ? facts.resumable : facts.repeatable) {
+                return attempt_action::send_again;
+            }
+            break;
+        case attempt_end::answered:
+            if (facts.repeatable && !facts.response_started &&
+                facts.status >= first_server_error &&
+                facts.status != gateway_timeout) {
+                return attempt_action::send_again;
+            }
+            break;
+        case attempt_end::not_sent:
+            break;
+    }
+    return without_repeat(facts);
+}
+
+std::string_view to_string(attempt_end end) {
+    switch (end) {
+        case attempt_end::answered:
+            return "answered";
+        case attempt_end::not_sent:
+            return "not sent";
+        case attempt_end::rejected:
+            return "rejected";
+        case attempt_end::broken:
+            return "broken";
+    }
+    return "unknown";
+}
+
+}  // namespace bronzehub::overload
--- /dev/null
+++ b/src/overload/attempt_policy_test.cpp
@@ -0,0 +1,84 @@
+#include "overload/attempt_policy.hpp"
+
+#include <catch2/catch.hpp>
+
+using bronzehub::overload::attempt_action;
+using bronzehub::overload::attempt_end;
+using bronzehub::overload::attempt_facts;
+using bronzehub::overload::decide_after_attempt;
+
+namespace {
+
+struct row {
+    const char* what;
+    attempt_facts facts;
+    attempt_action expected;
+};
+
+attempt_facts facts(attempt_end end, int status, bool repeatable,
+                    std::uint32_t sent, std::uint32_t most) {
+    attempt_facts result;
+    result.end = end;
+    result.status = status;
+    result.repeatable = repeatable;
+    result.attempts_sent = sent;
+    result.max_attempts = most;
+    return result;
+}
+
+attempt_facts started(attempt_facts base, bool resumable) {
+    base.response_started = true;
+    base.resumable = resumable;
+    return base;
+}
+
+attempt_facts late(attempt_facts base) {
+    base.time_left = false;
+    return base;
+}
+
+}  // namespace
+
+// Guards against a request that runs twice, a refusal that is not true, and a
+// response that is complete and not delivered.
+TEST_CASE("the end of an attempt decides what follows") {
+    using end = attempt_end;
+    using act = attempt_action;
+    const auto [what, given, expected] = GENERATE(values<row>({
+        {"success", facts(end::answered, 200, true, 1, 2), act::deliver},
+        {"success after the last attempt",
+         facts(end::answered, 200, false, 1, 1), act::deliver},
+        {"whole stream after the last attempt",
+         started(facts(end::answered, 200, false, 1, 1), false), act::deliver},
+        {"own error, not repeatable", facts(end::answered, 500, false, 1, 2),
+         act::deliver},
+        {"own error, repeatable", facts(end::answered, 500, true, 1, 2),
+         act::send_again},
+        {"own error, no attempt left", facts(end::answered, 500, true, 2, 2),
+         act::deliver},
+        {"own deadline", facts(end::answered, 504, true, 1, 2), act::deliver},
+        {"unreachable, not repeatable", facts(end::not_sent, 0, false, 0, 1),
+         act::send_elsewhere},
+        {"unreachable, late", late(facts(end::not_sent, 0, false, 0, 1)),
+         act::refuse},
+        {"rejected", facts(end::rejected, 503, false, 1, 2), act::send_again},
+        {"rejected, no attempt left", facts(end::rejected, 503, false, 1, 1),
+         act::refuse},
+        {"broken, not repeatable", facts(end::broken, 0, false, 1, 2),
+         act::fail},
+        {"broken, repeatable", facts(end::broken, 0, true, 1, 2),
+         act::send_again},
+        {"broken, repeatable, late", late(facts(end::broken, 0, true, 1, 2)),
+         act::fail},
+        {"broken stream, resumable",
+         started(facts(end::broken, 200, true, 1, 2), true), act::send_again},
+        {"broken stream, not resumable",
+         started(facts(end::broken, 200, false, 1, 2), false),
+         act::abort_response},
+        {"rejected resumption",
+         started(facts(end::rejected, 503, true, 2, 2), true),
+         act::abort_response},
+    }));
+    CAPTURE(what);
+    CHECK(decide_after_attempt(given) == expected);
+}
--- /dev/null
+++ b/src/overload/engine_scheduler.hpp
@@ -0,0 +1,169 @@
+// Decides which requests run on one model engine, and when.
+//
+// Engines know no priorities and admit requests in order of arrival, so a
+// request that is sent too early delays everyone behind it. The scheduler of
+// an engine keeps its batch, its memory and its unread prompts within bounds,
+// lets the rest wait in fair order for as long as they can still start in
+// time, and refuses what can't.
+//
+// Load patterns that it answers: demand of one to two times what the engine
+// can do; one organisation at many times its usual rate; long prompts that
+// arrive together. No I/O; the clock and the hooks come from the owner.
+#ifndef BRONZEHUB_OVERLOAD_ENGINE_SCHEDULER_HPP
+#define BRONZEHUB_OVERLOAD_ENGINE_SCHEDULER_HPP
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.hpp"
+#include "fleet_state/request_description.hpp"
+#include "overload/service_rates.hpp"
+
+namespace bronzehub::overload {
+
+// A request for a place on an engine: the host that holds the caller, and that
+// host's number for it.
+struct work_id {
+    std::string host;
+    std::uint64_t number = 0;
+    auto operator<=>(const work_id&) const = default;
+};
+
+struct engine_work {
+    work_id id;
+    std::string organisation;
+    // Tokens read once and tokens generated twice: the unit of shares.
+    double cost = 0;
+    // Read by this request alone.
+    std::uint32_t own_tokens = 0;
+    std::uint32_t output_tokens = 0;
+    // Parts of the prompt that other requests share, in order.
+    std::vector<fleet_state::prompt_part> shared;
+    // Latest start at which the first event is still in time.
+    base::time_point start_by;
+    // False: refuse at once instead of letting it wait.
+    bool may_wait = true;
+};
+
+struct engine_options {
+    std::uint32_t slots = 1;
+    // Zero: unknown, not limited.
+    std::uint64_t memory_tokens = 0;
+};
+
+enum class engine_decision : std::uint8_t { granted, waiting, refused };
+
+struct engine_hooks {
+    // For work that waited; `submit` returns the decision on new work.
+    std::function<void(const work_id&)> granted;
+    std::function<void(const work_id&, base::duration retry_after)> refused;
+};
+
+// Not thread-safe.
+class engine_scheduler {
+public:
+    // Prompt tokens that may be granted and not yet read, at the start. Adapts
+    // to the time that first events take.
+    static constexpr double initial_prompt_window = 16384;
+    static constexpr double smallest_prompt_window = 4096;
+    static constexpr double largest_prompt_window = 262144;
+    // Share of the engine's memory that granted work may fill. The rest holds
+    // answers that grow longer than expected.
+    static constexpr double memory_share = 0.9;
+
+    engine_scheduler(engine_options options, base::clock clock,
+                     engine_hooks hooks);
+
+    // Submitting known work again returns its present state.
+    engine_decision submit(engine_work work);
+
+    // The first event arrived this long after the grant; `in_time` tells
+    // whether that met the target.
+    void on_first_event(const work_id& id, base::duration since_grant,
+                        bool in_time);
+
+    // The work ended, or its caller left while it waited.
+    void release(const work_id& id);
+
+    // Work that runs although this scheduler did not grant it: it took the
+    // engine over from another owner.
+    void adopt(engine_work work);
+
+    // Releases granted work of `host` that is not in `running` and was granted
+    // before `granted_before`.
+    void reconcile(const std::string& host,
+                   const std::vector<std::uint64_t>& running,
+                   base::time_point granted_before);
+
+    // Releases everything of a host that was lost.
+    void drop_host(const std::string& host);
+
+    // Refuses work whose start is no longer in time. Call every few ms while
+    // work waits.
+    void tick();
+
+    void set_options(engine_options options) { options_ = options; }
+
+    bool knows(const work_id& id) const;
+    std::size_t running() const { return running_.size(); }
+    std::size_t waiting() const { return waiting_.size(); }
+    double prompt_window() const { return prompt_window_; }
+    std::uint64_t memory_in_use() const { return memory_in_use_; }
+
+    // When work of the organisation that is refused now would be served, if
+    // what was refused of late queued for the rate at which it is served.
+    base::duration retry_after(const std::string& organisation);
+
+private:
+    struct granted_work {
+        engine_work work;
+        base::time_point granted_at;
+        std::uint32_t unread_tokens = 0;
+        bool first_event_seen = false;
+    };
+
+    struct cached_part {
+        std::uint32_t tokens = 0;
+        std::uint32_t users = 0;
+        base::time_point last_use;
+    };
+
+    std::uint32_t unread_tokens(const engine_work& work) const;
+    std::uint64_t memory_of(const engine_work& work) const;
+    bool has_room(const engine_work& work) const;
+    base::duration expected_start(const engine_work& work) const;
+    void grant(engine_work work);
+    void finish(std::map<work_id, granted_work>::iterator entry);
+    void use_parts(const engine_work& work);
+    void evict_parts();
+    std::list<engine_work>::iterator next_in_order();
+    std::list<engine_work>::iterator last_in_order();
+    void grant_waiting();
+    bool is_hopeless(const engine_work& work, std::size_t ahead) const;
+    void refuse(std::list<engine_work>::iterator entry);
+
+    engine_options options_;
+    base::clock clock_;
+    engine_hooks hooks_;
+    std::map<work_id, granted_work> running_;
+    std::list<engine_work> waiting_;
+    std::unordered_map<std::uint64_t, cached_part> parts_;
+    std::uint64_t cached_tokens_ = 0;
+    std::uint64_t memory_in_use_ = 0;
+    double unread_in_flight_ = 0;
+    double prompt_window_ = initial_prompt_window;
+    // Smoothed time between two releases, in seconds; zero until known.
+    double release_interval_s_ = 0;
+    base::time_point last_release_{};
+    service_rates rates_;
+};
+
+}  // namespace bronzehub::overload
+
+#endif
--- /dev/null
+++ b/src/overload/engine_scheduler_test.cpp
@@ -0,0 +1,169 @@
+#include "overload/engine_scheduler.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <vector>
+
+namespace {
+
+using namespace std::chrono_literals;
+using bronzehub::base::duration;
+using bronzehub::base::paused_clock;
+using bronzehub::overload::engine_decision;
+using bronzehub::overload::engine_hooks;
+using bronzehub::overload::engine_scheduler;
+using bronzehub::overload::engine_work;
+using bronzehub::overload::work_id;
+
+// One engine's schedule with what its hooks were told.
+struct bench {
+    explicit bench(bronzehub::overload::engine_options options)
+        : tested(options, time.view(),
+                 engine_hooks{[this](const work_id& id) {
+                                  granted.push_back(id.number);
+                              },
+                              [this](const work_id& id, duration retry) {
+                                  refused.push_back(id.number);
+                                  last_retry = retry;
+                              }}) {}
+
+    engine_work work(std::uint64_t number, const std::string& organisation,
+                     duration patience = 100ms) const {
+        engine_work result;
+        result.id = {"host/1", number};
+        result.organisation = organisation;
+        result.cost = 1000;
+        result.own_tokens = 500;
+        result.output_tokens = 250;
+        result.start_by = time.now() + patience;
+        return result;
+    }
+
+    paused_clock time;
+    std::vector<std::uint64_t> granted;
+    std::vector<std::uint64_t> refused;
+    duration last_retry{};
+    engine_scheduler tested;
+};
+
+}  // namespace
+
+// Load pattern: more requests than slots. Guards against a request that queues
+// inside the engine, where nothing can be put before it.
+TEST_CASE("work beyond the slots waits and starts when one is free") {
+    bench engine({.slots = 2});
+    CHECK(engine.tested.submit(engine.work(1, "a")) ==
+          engine_decision::granted);
+    CHECK(engine.tested.submit(engine.work(2, "a")) ==
+          engine_decision::granted);
+    CHECK(engine.tested.submit(engine.work(3, "a")) ==
+          engine_decision::waiting);
+    CHECK(engine.tested.submit(engine.work(3, "a")) ==
+          engine_decision::waiting);
+    engine.tested.release({"host/1", 1});
+    CHECK(engine.granted == std::vector<std::uint64_t>{3});
+    CHECK(engine.tested.running() == 2);
+}
+
+// Guards against a caller that is kept waiting for what can't be in time.
+TEST_CASE("work that can't start in time is refused") {
+    bench engine({.slots = 1});
+    engine.tested.submit(engine.work(1, "a"));
+    CHECK(engine.tested.submit(engine.work(2, "a", 50ms)) ==
+          engine_decision::waiting);
+    auto impatient = engine.work(3, "a");
+    impatient.may_wait = false;
+    CHECK(engine.tested.submit(impatient) == engine_decision::refused);
+    engine.time.advance(60ms);
+    engine.tested.tick();
+    CHECK(engine.refused == std::vector<std::uint64_t>{2});
+    CHECK(engine.last_retry >= 250ms);
+}
+
+// Load pattern: one organisation asks for ten times what the others do, twice
+// what the engine serves. Guards against its taking the share of the others.
+TEST_CASE("a flooding organisation does not take the share of others") {
+    bench engine({.slots = 4});
+    std::map<std::uint64_t, std::string> owner;
+    std::map<std::string, int> asked;
+    std::map<std::string, int> served;
+    std::vector<std::pair<bronzehub::base::time_point, std::uint64_t>> running;
+    std::uint64_t number = 0;
+    const auto start = [&](std::uint64_t id) {
+        ++served[owner[id]];
+        running.emplace_back(engine.time.now() + 100ms, id);
+    };
+    for (int step = 0; step < 2000; ++step) {
+        engine.time.advance(10ms);
+        std::erase_if(running, [&](const auto& entry) {
+            if (entry.first > engine.time.now()) {
+                return false;
+            }
+            engine.tested.on_first_event({"host/1", entry.second}, 10ms, true);
+            engine.tested.release({"host/1", entry.second});
+            return true;
+        });
+        engine.tested.tick();
+        std::vector<std::string> arrivals(step % 2 == 0 ? 2 : 1, "flood");
+        if (step % 10 == 0) {
+            arrivals.push_back("small-1");
+        }
+        if (step % 10 == 5) {
+            arrivals.push_back("small-2");
+        }
+        for (const auto& organisation : arrivals) {
+            ++number;
+            owner[number] = organisation;
+            ++asked[organisation];
+            if (engine.tested.submit(engine.work(number, organisation)) ==
+                engine_decision::granted) {
+                start(number);
+            }
+        }
+        for (const std::uint64_t id : std::exchange(engine.granted, {})) {
+            start(id);
+        }
+    }
+    CHECK(served["small-1"] > 0.9 * asked["small-1"]);
+    CHECK(served["small-2"] > 0.9 * asked["small-2"]);
+    // No slot is idle while work waits.
+    CHECK(served["flood"] + served["small-1"] + served["small-2"] >
+          0.95 * 4 * 10 * 20);
+}
+
+// Load pattern: long prompts that arrive together. Guards against memory that
+// runs out in the middle of streams.
+TEST_CASE("granted work fits in the engine's memory") {
+    bench engine({.slots = 64, .memory_tokens = 10000});
+    auto first = engine.work(1, "a");
+    first.shared = {{7, 4000}};
+    auto second = engine.work(2, "a");
+    second.shared = {{7, 4000}};
+    auto third = engine.work(3, "a");
+    third.shared = {{8, 4000}};
+    CHECK(engine.tested.submit(first) == engine_decision::granted);
+    CHECK(engine.tested.submit(second) == engine_decision::granted);
+    CHECK(engine.tested.memory_in_use() == 4000 + 2 * 750);
+    CHECK(engine.tested.submit(third) == engine_decision::waiting);
+    engine.tested.release({"host/1", 1});
+    engine.tested.release({"host/1", 2});
+    CHECK(engine.granted == std::vector<std::uint64_t>{3});
+    engine.tested.release({"host/1", 3});
+    CHECK(engine.tested.memory_in_use() == 0);
+}
+
+// Guards against slots that leak when a host with running work is lost, and
+// against grants that are dropped because a list of running work was older.
+TEST_CASE("running work is reconciled with what its host lists") {
+    bench engine({.slots = 3});
+    engine.tested.submit(engine.work(1, "a"));
+    engine.tested.submit(engine.work(2, "a"));
+    engine.time.advance(1s);
+    engine.tested.submit(engine.work(3, "a"));
+    engine.tested.reconcile("host/1", {1}, engine.time.now() - 300ms);
+    CHECK(engine.tested.running() == 2);
+    CHECK(engine.tested.knows({"host/1", 3}));
+    engine.tested.drop_host("host/1");
+    CHECK(engine.tested.running() == 0);
+}
--- /dev/null
+++ b/src/overload/service_rates.cpp
@@ -0,0 +1,53 @@
+#include "overload/service_rates.hpp"
+
+#include <cmath>
+
+namespace bronzehub::overload {
+
+double service_rates::decay(const sums& entry) const {
+    using seconds = std::chrono::duration<double>;
+    return std::exp(-seconds(clock_.now() - entry.at) / seconds(memory));
+}
+
+service_rates::sums& service_rates::refreshed(std::string_view organisation) {
+    auto found = sums_.find(organisation);
+    if (found == sums_.end()) {
+        found = sums_.emplace(std::string(organisation), sums{}).first;
+        found->second.at = clock_.now();
+    }
+    sums& entry = found->second;
+    const double factor = decay(entry);
+    entry.granted *= factor;
+    entry.refused *= factor;
+    entry.at = clock_.now();
+    return entry;
+}
+
+void service_rates::on_granted(std::string_view organisation, double cost) {
+    refreshed(organisation).granted += cost;
+}
+
+void service_rates::on_refused(std::string_view organisation, double cost) {
+    refreshed(organisation).refused += cost;
+}
+
+double service_rates::granted(std::string_view organisation) const {
+    const auto found = sums_.find(organisation);
+    return found == sums_.end() ? 0
+                                : found->second.granted * decay(found->second);
+}
+
+double service_rates::refused(std::string_view organisation) const {
+    const auto found = sums_.find(organisation);
+    return found == sums_.end() ? 0
+                                : found->second.refused * decay(found->second);
+}
+
+void service_rates::prune() {
+    std::erase_if(sums_, [this](const auto& entry) {
+        const double factor = decay(entry.second);
+        return (entry.second.granted + entry.second.refused) * factor < 1;
+    });
+}
+
+}  // namespace bronzehub::overload
--- /dev/null
+++ b/src/overload/service_rates.hpp
@@ -0,0 +1,51 @@
+// What each organisation was granted and refused of late.
+//
+// Both are kept as sums that decay, so that a rate needs two numbers for each
+// organisation and old behaviour is forgotten.
+#ifndef BRONZEHUB_OVERLOAD_SERVICE_RATES_HPP
+#define BRONZEHUB_OVERLOAD_SERVICE_RATES_HPP
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "base/clock.hpp"
+
+namespace bronzehub::overload {
+
+// Not thread-safe. Costs are in the unit of shares.
+class service_rates {
+public:
+    // Time in which a sum falls to 1/e. Shares are judged over a few seconds.
+    static constexpr std::chrono::milliseconds memory{2000};
+
+    explicit service_rates(base::clock clock) : clock_(std::move(clock)) {}
+
+    void on_granted(std::string_view organisation, double cost);
+    void on_refused(std::string_view organisation, double cost);
+
+    // Decayed sums; zero for an unknown organisation.
+    double granted(std::string_view organisation) const;
+    double refused(std::string_view organisation) const;
+
+    // Forgets organisations whose sums are negligible.
+    void prune();
+
+private:
+    struct sums {
+        double granted = 0;
+        double refused = 0;
+        base::time_point at;
+    };
+
+    double decay(const sums& entry) const;
+    sums& refreshed(std::string_view organisation);
+
+    base::clock clock_;
+    std::map<std::string, sums, std::less<>> sums_;
+};
+
+}  // namespace bronzehub::overload
+
+#endif
