Refuse early on a host that runs late, and accept every waiting connection

Cause: on the grown site one host gets the callers of the largest organisation, about 600 requests a second. It took one connection in a turn of its loop, a turn serves up to 128 other events, and a request takes about eight turns, so requests were sent on a second after their callers had left. The host measures its lateness (host_load), refuses a growing part of new requests, stops being ready while that lasts, and looks for the end of the caller's connection before it sends. Open: refusals while other hosts have time.

--- a/src/entry/byte_channel.cpp
+++ b/src/entry/byte_channel.cpp
@@ -65,6 +65,16 @@
     wait_readable();
 }
 
+bool byte_channel::is_ended_by_peer() {
+    if (!open_) {
+        return true;
+    }
+    char byte = 0;
+    asio::error_code error;
+    socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error && error != asio::error::would_block;
+}
+
 void byte_channel::resume_reading() {
     paused_ = false;
     wait_readable();
--- a/src/entry/byte_channel.hpp
+++ b/src/entry/byte_channel.hpp
@@ -41,6 +41,9 @@
     void resume_reading();
 
     bool is_open() const { return open_; }
+    // Whether the other side has ended the connection, also when that has not
+    // been read yet. Costs a system call.
+    bool is_ended_by_peer();
     void close();
 
     // Sends what is pending, ends the sending direction and closes when the
--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -39,6 +39,8 @@
 constexpr milliseconds store_retry{1000};
 constexpr milliseconds no_server_retry{1000};
 constexpr milliseconds draining_retry{100};
+// Retries reach other hosts, which have time.
+constexpr milliseconds overloaded_retry{50};
 
 constexpr int ok = 200;
 constexpr int unauthorised = 401;
@@ -79,6 +81,10 @@
         refuse("no configuration yet", store_retry);
         return;
     }
+    if (!environment_.load.accepts(draw())) {
+        refuse("host overloaded", overloaded_retry);
+        return;
+    }
     if (environment_.draining()) {
         refuse("draining", draining_retry);
         return;
@@ -99,6 +105,13 @@
     place();
 }
 
+// A number from 0 to 1 that is the request's own.
+double call::draw() const {
+    constexpr std::uint64_t steps = 1000;
+    return static_cast<double>(base::stable_hash(description_.id) % steps) /
+           steps;
+}
+
 bool call::find_route() {
     report_.configuration_version = configuration_->version();
     report_.configuration_age_ms =
@@ -322,6 +335,12 @@
     if (!still_valid()) {
         return;
     }
+    // On a busy host, the end of the caller's connection may wait to be read
+    // behind the events that led here.
+    if (caller_->is_abandoned()) {
+        finish(call_outcome::abandoned, "caller left");
+        return;
+    }
     if (std::ranges::find(route_->services, server.service,
                           &fleet_state::weighted_service::service) ==
         route_->services.end()) {
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -19,6 +19,7 @@
 #include "entry/fleet_watch.hpp"
 #include "entry/schedule_link.hpp"
 #include "overload/attempt_policy.hpp"
+#include "overload/host_load.hpp"
 #include "overload/retry_window.hpp"
 
 namespace bronzehub::entry {
@@ -38,6 +39,7 @@
     base::duration key_lifetime{};
     // Whether the daemon takes no new requests any more.
     std::function<bool()> draining;
+    const overload::host_load& load;
 };
 
 // Owned by shared pointer, which its callbacks hold until it has ended.
@@ -66,6 +68,7 @@
         bool overflowed = false;
     };
 
+    double draw() const;
     bool find_route();
     bool check_key();
     void choose_service();
--- a/src/entry/caller_connection.hpp
+++ b/src/entry/caller_connection.hpp
@@ -71,6 +71,8 @@
 
     bool is_open() const { return channel_->is_open(); }
     bool in_call() const { return in_call_; }
+    // Whether the caller has left, also when that has not been read yet.
+    bool is_abandoned() { return channel_->is_ended_by_peer(); }
     std::size_t pending() const { return channel_->pending(); }
 
     // Called when everything written has been sent; replaces an earlier hook.
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -26,7 +26,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds flush_interval{50};
-constexpr milliseconds schedule_tick{10};
 constexpr milliseconds housekeeping_interval{500};
 constexpr milliseconds drain_check{50};
 constexpr milliseconds settings_check{2000};
@@ -111,6 +110,7 @@
                 from_ms(settings_.bounds.retry_window_ms)},
                loop_.clock()),
       reporter_(log_, figures_, loop_.clock()),
+      load_(loop_.clock()),
       datagrams_(loop_.context()),
       schedule_(
           hosts_, loop_.clock(),
@@ -146,7 +146,8 @@
                    [this] {
                        return stopping_ && loop_.now() - stopping_since_ >
                                                serve_on_after_stop;
-                   }},
+                   },
+                   load_},
       callers_(loop_,
                {[this](const std::shared_ptr<caller_connection>& caller,
                        caller_request request) {
@@ -162,7 +163,7 @@
                     }
                     return limits;
                 },
-                [this] { return stopping_; }}),
+                [this] { return stopping_ || !load_.is_ready(); }}),
       readiness_(loop_, simple_hooks([this](const auto& caller, const auto&) {
                      on_ready_request(caller);
                  })),
@@ -191,7 +192,7 @@
     listen_for_signals();
     fleet_.start();
     loop_.every(flush_interval, [this] { lines_.flush(); });
-    loop_.every(schedule_tick, [this] { schedule_.tick(); });
+    loop_.every(overload::host_load::sample_interval, [this] { tick(); });
     loop_.every(schedule_link::inventory_interval,
                 [this] { schedule_.exchange_inventory(); });
     loop_.every(housekeeping_interval, [this] { housekeeping(); });
@@ -340,8 +341,25 @@
     }
 }
 
+void entry_node::tick() {
+    const base::time_point now = loop_.now();
+    if (last_tick_ != base::time_point{}) {
+        const bool was_ready = load_.is_ready();
+        load_.on_sample(now - last_tick_ -
+                        overload::host_load::sample_interval);
+        if (was_ready != load_.is_ready()) {
+            log_.warning(was_ready ? "host overloaded" : "host has time again",
+                         {field("lateness_ms", load_.lateness()),
+                          field("refused_share", load_.refused_share()),
+                          field("calls", calls_.size())});
+        }
+    }
+    last_tick_ = now;
+    schedule_.tick();
+}
+
 bool entry_node::is_ready() const {
-    return !stopping_ && fleet_.is_ready();
+    return !stopping_ && fleet_.is_ready() && load_.is_ready();
 }
 
 void entry_node::on_ready_request(
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -53,6 +53,7 @@
                              const caller_request& request);
     void on_ready_request(const std::shared_ptr<caller_connection>& caller);
     bool is_ready() const;
+    void tick();
     void refresh_figures();
     std::string dump();
     void housekeeping();
@@ -71,6 +72,8 @@
     backend_status status_;
     overload::retry_window retries_;
     call_reporter reporter_;
+    overload::host_load load_;
+    base::time_point last_tick_{};
     asio::ip::udp::socket datagrams_;
     std::array<char, 65536> datagram_buffer_{};
     schedule_link schedule_;
--- a/src/entry/http_listener.cpp
+++ b/src/entry/http_listener.cpp
@@ -14,6 +14,7 @@
 
 using asio::ip::tcp;
 
+constexpr std::size_t accepts_per_turn = 32;
 // Pause after a failed accept, for example when descriptors run out.
 constexpr std::chrono::milliseconds accept_pause{50};
 
@@ -50,6 +51,9 @@
             acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
         std::ignore = acceptor_.bind(endpoint, error);
     }
+    if (!error) {
+        std::ignore = acceptor_.non_blocking(true, error);
+    }
     if (!error) {
         std::ignore =
             acceptor_.listen(tcp::acceptor::max_listen_connections, error);
@@ -68,23 +72,44 @@
 }
 
 void http_listener::accept() {
-    acceptor_.async_accept(
-        [this](const asio::error_code& error, tcp::socket socket) {
-            if (!acceptor_.is_open()) {
+    acceptor_.async_wait(
+        tcp::acceptor::wait_read, [this](const asio::error_code& error) {
+            if (error || !acceptor_.is_open()) {
                 return;
             }
-            if (error) {
+            if (accept_waiting()) {
+                accept();
+            } else {
                 loop_.after(accept_pause, [this] { accept(); });
-                return;
             }
-            auto connection = std::make_shared<caller_connection>(
-                loop_, std::move(socket), hooks_);
-            connections_.insert(connection);
-            connection->start();
-            accept();
         });
 }
 
+// Takes all connections that wait, up to a number that lets other events in
+// between. One for each turn of the loop would be too few: under a crowd of
+// callers, a turn serves a hundred other events.
+bool http_listener::accept_waiting() {
+    for (std::size_t i = 0; i < accepts_per_turn; ++i) {
+        asio::error_code error;
+        tcp::socket socket(loop_.context());
+        std::ignore = acceptor_.accept(socket, error);
+        if (error == asio::error::would_block) {
+            return true;
+        }
+        if (error == asio::error::connection_aborted) {
+            continue;  // The caller left the queue.
+        }
+        if (error) {
+            return false;
+        }
+        auto connection = std::make_shared<caller_connection>(
+            loop_, std::move(socket), hooks_);
+        connections_.insert(connection);
+        connection->start();
+    }
+    return true;
+}
+
 void http_listener::stop() {
     asio::error_code ignored;  // Nothing follows from a failed close.
     std::ignore = acceptor_.close(ignored);
--- a/src/entry/http_listener.hpp
+++ b/src/entry/http_listener.hpp
@@ -36,6 +36,7 @@
 
 private:
     void accept();
+    bool accept_waiting();
 
     event_loop& loop_;
     asio::ip::tcp::acceptor acceptor_;
--- /dev/null
+++ b/src/fleet_state/read_duty.cpp
@@ -0,0 +1,32 @@
+#include "fleet_state/read_duty.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.hpp"
+
+namespace bronzehub::fleet_state {
+
+std::size_t reader_rank(std::string_view self,
+                        std::span<const std::string> others) {
+    const auto score = [](std::string_view host) {
+        return std::pair(base::stable_hash(host), host);
+    };
+    const auto own = score(self);
+    return static_cast<std::size_t>(
+        std::ranges::count_if(others, [&](const std::string& other) {
+            return other != self && score(other) > own;
+        }));
+}
+
+bool should_read(const read_duty_options& options, std::size_t rank,
+                 base::duration age) {
+    if (rank == 0) {
+        return true;
+    }
+    const auto behind = static_cast<base::duration::rep>(rank - 1);
+    return age > std::min(options.first_age + behind * options.step,
+                          options.longest_age);
+}
+
+}  // namespace bronzehub::fleet_state
