Let one host of a failure domain read the store, and test the whole path

One host reads and tells its neighbours what is newest, with the store's time of the reading; they refresh the age of what they have, ask for a listing that differs and read a newer configuration themselves. When nobody tells them, more hosts read the older the knowledge is (read_duty). It found that a request whose body was too large was answered 413 and run all the same; the parser now stops where the request was refused.

--- a/src/entry/caller_connection.cpp
+++ b/src/entry/caller_connection.cpp
@@ -124,6 +124,9 @@
             arm_timeout(limits.header_timeout);
         }
         bytes.remove_prefix(parser_.feed(bytes));
+        if (rejected_) {
+            break;  // While its body was read.
+        }
         switch (parser_.where()) {
             case message_parser::state::complete:
                 // What follows is kept until the response has ended.
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -122,17 +122,13 @@
               send_datagram(address, bytes);
           },
           incarnation_),
-      fleet_(loop_, settings_.store.address, servers_, hosts_, incarnation_,
-             log_,
-             {[](const fleet_state::configuration_pointer&) {},
-              [this](const std::vector<fleet_state::directory_change>& all) {
-                  for (const auto& change : all) {
-                      if (change.what ==
-                          fleet_state::directory_change::kind::removed) {
-                          status_.forget(change.id);
-                      }
-                  }
-              }}),
+      fleet_(
+          loop_, settings_.store.address, servers_, hosts_,
+          [this](const std::string& address, std::string_view bytes) {
+              send_datagram(address, bytes);
+          },
+          incarnation_, log_,
+          [this](std::string_view id) { status_.forget(id); }),
       environment_{loop_,
                    fleet_,
                    servers_,
@@ -249,6 +245,7 @@
 void entry_node::begin_drain() {
     stopping_ = true;
     stopping_since_ = loop_.now();
+    fleet_.stop();
     log_.info("draining", {field("calls", calls_.size()),
                            field("connections", callers_.connections())});
     loop_.after(serve_on_after_stop, [this] { callers_.close_idle(); });
@@ -301,15 +298,25 @@
                 if (failed) {
                     break;
                 }
-                schedule_.on_datagram(
-                    absl::StrCat(sender.address().to_string(), ":",
-                                 sender.port()),
-                    std::string_view(datagram_buffer_.data(), size));
+                on_datagram(absl::StrCat(sender.address().to_string(), ":",
+                                         sender.port()),
+                            std::string_view(datagram_buffer_.data(), size));
             }
             receive_datagrams();
         });
 }
 
+void entry_node::on_datagram(const std::string& from, std::string_view bytes) {
+    const auto message = decode_message(bytes);
+    if (!message) {
+        ++malformed_datagrams_;
+        return;
+    }
+    hosts_.on_heard(message->host);
+    schedule_.on_message(from, *message);
+    fleet_.on_message(from, *message);
+}
+
 void entry_node::send_datagram(const std::string& address,
                                std::string_view bytes) {
     udp::endpoint endpoint;
@@ -411,6 +418,9 @@
     set("bronzehub_entry_connections_reused",
         "Requests to backend servers on a kept connection.",
         static_cast<double>(pool_.reused()));
+    set("bronzehub_entry_malformed_datagrams",
+        "Datagrams that were no message of this version.",
+        static_cast<double>(malformed_datagrams_));
     set("bronzehub_entry_log_lines_dropped",
         "Log lines that the reader left no room for.",
         static_cast<double>(lines_.dropped()));
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -45,6 +45,7 @@
     void check_drained();
     absl::Status open_datagrams();
     void receive_datagrams();
+    void on_datagram(const std::string& from, std::string_view bytes);
     void send_datagram(const std::string& address, std::string_view bytes);
     void on_request(const std::shared_ptr<caller_connection>& caller,
                     caller_request request);
@@ -88,6 +89,7 @@
     bool was_ready_ = false;
     base::time_point stopping_since_{};
     std::uint64_t datagram_failures_ = 0;
+    std::uint64_t malformed_datagrams_ = 0;
 };
 
 }  // namespace bronzehub::entry
--- a/src/entry/host_directory.cpp
+++ b/src/entry/host_directory.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/hash.hpp"
+#include "fleet_state/read_duty.hpp"
 
 namespace bronzehub::entry {
 
@@ -46,6 +47,52 @@
     known.announced_at = clock_.now();
 }
 
+void host_directory::on_hello(const entry_host& host) {
+    if (host.name == self_.name) {
+        return;
+    }
+    entry& known = hosts_[host.name];
+    known.host = host;
+    known.announced_at = clock_.now();
+    known.suspect_until = {};
+    known.suspicion = {};
+}
+
+void host_directory::on_farewell(std::string_view name) {
+    const auto found = hosts_.find(name);
+    if (found != hosts_.end()) {
+        // The row stays until its lifetime ends and must not bring it back.
+        found->second.suspect_until = clock_.now() + announcement_lifetime;
+    }
+}
+
+std::vector<entry_host> host_directory::others() const {
+    std::vector<entry_host> result;
+    for (const auto& [name, known] : hosts_) {
+        result.push_back(known.host);
+    }
+    return result;
+}
+
+std::vector<entry_host> host_directory::neighbours() const {
+    auto result = others();
+    std::erase_if(result, [this](const entry_host& host) {
+        return host.failure_domain != self_.failure_domain;
+    });
+    return result;
+}
+
+std::size_t host_directory::reader_rank() const {
+    std::vector<std::string> names;
+    for (const auto& [name, known] : hosts_) {
+        if (known.host.failure_domain == self_.failure_domain &&
+            known.suspect_until <= clock_.now()) {
+            names.push_back(name);
+        }
+    }
+    return fleet_state::reader_rank(self_.name, names);
+}
+
 void host_directory::on_silent(std::string_view name) {
     const auto found = hosts_.find(name);
     if (found == hosts_.end()) {
--- a/src/entry/host_directory.hpp
+++ b/src/entry/host_directory.hpp
@@ -34,9 +34,11 @@
 class host_directory {
 public:
     // Announcements are written at this interval.
-    static constexpr std::chrono::seconds announce_interval{4};
+    // Starts and ends are told by datagrams at once, so rows only serve hosts
+    // that missed those.
+    static constexpr std::chrono::seconds announce_interval{24};
     // A row that did not change for this long is of a host that is gone.
-    static constexpr std::chrono::seconds announcement_lifetime{13};
+    static constexpr std::chrono::seconds announcement_lifetime{80};
     static constexpr std::chrono::milliseconds first_suspicion{1000};
     static constexpr std::chrono::milliseconds longest_suspicion{8000};
 
@@ -45,6 +47,11 @@
     // A row as read from the table.
     void on_announcement(const entry_host& host, std::uint64_t row_version);
 
+    // A host told of itself by a datagram.
+    void on_hello(const entry_host& host);
+    // A host is about to stop.
+    void on_farewell(std::string_view name);
+
     void on_silent(std::string_view name);
     void on_heard(std::string_view name);
 
@@ -56,6 +63,12 @@
     const entry_host& self() const { return self_; }
     // Hosts that announced themselves lately, this one included.
     std::size_t announced() const;
+    // The others of them, in this host's failure domain or in all.
+    std::vector<entry_host> neighbours() const;
+    std::vector<entry_host> others() const;
+    // Rank of this host among the readers of its failure domain; hosts that
+    // are suspect do not count.
+    std::size_t reader_rank() const;
     // Forgets hosts whose announcements ended.
     void expire();
 
--- a/src/entry/host_directory_test.cpp
+++ b/src/entry/host_directory_test.cpp
@@ -62,7 +62,7 @@
     host_directory tested(make_host("h1", "a"), time.view());
     tested.on_announcement(make_host("h2", "a"), 1);
     CHECK(tested.announced() == 2);
-    time.advance(12s);
+    time.advance(79s);
     tested.on_announcement(make_host("h2", "a"), 1);
     tested.expire();
     CHECK(tested.announced() == 2);
@@ -78,3 +78,18 @@
     CHECK_FALSE(decode_host("h1", "").has_value());
     CHECK_FALSE(decode_host("h1", "{\"address\":3}").has_value());
 }
+
+// Guards against work that is sent to a host that is about to stop, and against
+// a new host that has to wait for its row to be read.
+TEST_CASE("a host comes and goes by its own word") {
+    paused_clock time;
+    host_directory tested(make_host("h1", "a"), time.view());
+    tested.on_hello(make_host("h2", "b"));
+    CHECK(tested.owner("e", "b").name == "h2");
+    tested.on_farewell("h2");
+    CHECK(tested.owner("e", "b").name == "h1");
+    tested.on_announcement(make_host("h2", "b"), 9);
+    CHECK(tested.owner("e", "b").name == "h1");
+    tested.on_hello(make_host("h2", "b"));
+    CHECK(tested.owner("e", "b").name == "h2");
+}
--- a/src/entry/schedule_link.cpp
+++ b/src/entry/schedule_link.cpp
@@ -268,49 +268,42 @@
     send_(address, encode_message(message));
 }
 
-void schedule_link::on_datagram(const std::string& from,
-                                std::string_view bytes) {
-    const auto message = decode_message(bytes);
-    if (!message) {
-        ++figures_.malformed;
-        return;
-    }
-    hosts_.on_heard(message->host);
-    const work_id id{holder_name(message->host, message->incarnation),
-                     message->number};
-    switch (static_cast<message_type>(message->type)) {
+void schedule_link::on_message(const std::string& from,
+                               const schedule_message& message) {
+    const work_id id{holder_name(message.host, message.incarnation),
+                     message.number};
+    switch (static_cast<message_type>(message.type)) {
         case message_type::ask:
-            on_ask(from, *message);
+            on_ask(from, message);
             break;
         case message_type::answer:
-            on_answer(message->number,
-                      static_cast<engine_decision>(message->decision),
-                      milliseconds(message->retry_after_ms));
+            on_answer(message.number,
+                      static_cast<engine_decision>(message.decision),
+                      milliseconds(message.retry_after_ms));
             break;
         case message_type::first_event:
-            if (const auto found = schedules_.find(message->engine);
+            if (const auto found = schedules_.find(message.engine);
                 found != schedules_.end()) {
-                found->second->on_first_event(id, {}, message->in_time);
+                found->second->on_first_event(id, {}, message.in_time);
             }
             break;
         case message_type::release:
-            if (const auto found = schedules_.find(message->engine);
+            if (const auto found = schedules_.find(message.engine);
                 found != schedules_.end()) {
                 found->second->release(id);
             }
             break;
         case message_type::inventory:
-            on_inventory(from, *message);
+            on_inventory(from, message);
             break;
         default:
-            ++figures_.malformed;
+            break;
     }
 }
 
 void schedule_link::on_ask(const std::string& from,
                            const schedule_message& message) {
     if (message.work.empty()) {
-        ++figures_.malformed;
         return;
     }
     const work_message& asked = message.work.front();
--- a/src/entry/schedule_link.hpp
+++ b/src/entry/schedule_link.hpp
@@ -83,7 +83,8 @@
     // Gives the place back, or withdraws the ask.
     void release(std::uint64_t number);
 
-    void on_datagram(const std::string& from, std::string_view bytes);
+    // A message of one of the types that this class sends; others are ignored.
+    void on_message(const std::string& from, const schedule_message& message);
 
     // Refuses waiting work that can't start in time. Every few ms.
     void tick();
@@ -100,7 +101,6 @@
         std::uint64_t asks_repeated = 0;
         std::uint64_t owners_passed_over = 0;
         std::uint64_t answers_lost = 0;
-        std::uint64_t malformed = 0;
         std::uint64_t running = 0;
         std::uint64_t waiting = 0;
         std::uint64_t schedules = 0;
--- a/src/entry/schedule_link_test.cpp
+++ b/src/entry/schedule_link_test.cpp
@@ -11,6 +11,7 @@
 using bronzehub::base::paused_clock;
 using bronzehub::base::timer_id;
 using bronzehub::base::timer_queue;
+using bronzehub::entry::decode_message;
 using bronzehub::entry::host_directory;
 using bronzehub::entry::place_answer;
 using bronzehub::entry::place_request;
@@ -34,6 +35,11 @@
                       all.sent.push_back({from, to, std::string(bytes)});
                   },
                   1) {}
+        void receive(const std::string& from, std::string_view bytes) {
+            const auto message = decode_message(bytes);
+            REQUIRE(message.has_value());
+            link.on_message(from, *message);
+        }
         host_directory directory;
         schedule_link link;
     };
@@ -53,8 +59,7 @@
         while (!sent.empty()) {
             const datagram next = sent.front();
             sent.pop_front();
-            (next.to == "one:1" ? one : two)
-                .link.on_datagram(next.from, next.bytes);
+            (next.to == "one:1" ? one : two).receive(next.from, next.bytes);
         }
     }
 
@@ -115,7 +120,7 @@
     if (answer_lost) {
         const auto ask = hosts.sent.front();
         hosts.sent.clear();
-        hosts.two.link.on_datagram(ask.from, ask.bytes);
+        hosts.two.receive(ask.from, ask.bytes);
     }
     hosts.sent.clear();
     hosts.advance(schedule_link::ask_again_after);
@@ -168,14 +173,12 @@
     pair_of_hosts::host restarted(hosts, "two", "b");
     hosts.one.link.exchange_inventory();
     REQUIRE(hosts.sent.size() == 1);
-    restarted.link.on_datagram(hosts.sent[0].from, hosts.sent[0].bytes);
+    restarted.receive(hosts.sent[0].from, hosts.sent[0].bytes);
     CHECK(restarted.link.read().running == 1);
 }
 
-TEST_CASE("bytes that are no message are counted and ignored") {
-    pair_of_hosts hosts;
+TEST_CASE("bytes that are no message are told apart") {
     const auto bytes = GENERATE(values<std::string>(
         {"", "x", std::string(300, '\xff'), "\x93\x01\x02\x03"}));
-    hosts.one.link.on_datagram("9:9", bytes);
-    CHECK(hosts.one.link.read().malformed == 1);
+    CHECK_FALSE(decode_message(bytes).has_value());
 }
--- a/src/entry/schedule_messages.hpp
+++ b/src/entry/schedule_messages.hpp
@@ -22,6 +22,43 @@
     first_event = 3,
     release = 4,
     inventory = 5,
+    knowledge = 6,
+    listing_request = 7,
+    listing = 8,
+    hello = 9,
+    farewell = 10,
+};
+
+// What a reader of the store knows, and when it was certainly the newest.
+struct knowledge_message {
+    std::uint64_t configuration_version = 0;
+    std::int64_t configuration_store_ms = 0;
+    std::uint64_t listing_hash = 0;
+    std::int64_t listing_store_ms = 0;
+    MSGPACK_DEFINE_ARRAY(configuration_version, configuration_store_ms,
+                         listing_hash, listing_store_ms)
+};
+
+struct server_message {
+    std::string id;
+    std::string service;
+    std::string address;
+    std::string failure_domain;
+    std::uint32_t slots = 0;
+    std::uint64_t started_at_ms = 0;
+    bool draining = false;
+    MSGPACK_DEFINE_ARRAY(id, service, address, failure_domain, slots,
+                         started_at_ms, draining)
+};
+
+// One part of a listing of backend servers; parts fit in a datagram.
+struct listing_message {
+    std::uint64_t hash = 0;
+    std::int64_t store_ms = 0;
+    std::uint32_t part = 0;
+    std::uint32_t parts = 1;
+    std::vector<server_message> servers;
+    MSGPACK_DEFINE_ARRAY(hash, store_ms, part, parts, servers)
 };
 
 struct shared_part_message {
@@ -68,8 +105,14 @@
     std::int64_t retry_after_ms = 0;
     // `first_event`: whether it was in time.
     bool in_time = true;
+    // `knowledge`, `listing`: at most one.
+    std::vector<knowledge_message> knowledge;
+    std::vector<listing_message> listing;
+    // `hello`: where the sender is.
+    std::string failure_domain;
     MSGPACK_DEFINE_ARRAY(version, type, host, incarnation, work, number, engine,
-                         decision, retry_after_ms, in_time)
+                         decision, retry_after_ms, in_time, knowledge, listing,
+                         failure_domain)
 };
 
 std::string encode_message(const schedule_message& message);
--- a/src/fleet_state/backend_servers.cpp
+++ b/src/fleet_state/backend_servers.cpp
@@ -12,7 +12,8 @@
         keep_missing_until_ = clock_.now() + options_.lapse_grace;
     }
     known_ = true;
-    read_at_ = read_at;
+    read_at_ = std::max(read_at_, read_at);
+    listed_ = listed;
 
     std::vector<directory_change> changes;
     std::set<std::string_view> present;
@@ -43,6 +44,7 @@
     if (clock_.now() < keep_missing_until_) {
         return changes;
     }
+    keep_missing_until_ = {};
     std::erase_if(servers_, [&](const auto& entry) {
         if (present.contains(entry.first)) {
             return false;
@@ -56,6 +58,19 @@
     return changes;
 }
 
+std::vector<directory_change> backend_directory::on_unchanged(
+    base::time_point read_at) {
+    if (!known_ || read_at <= read_at_) {
+        return {};
+    }
+    if (keep_missing_until_ != base::time_point{} ||
+        read_at - read_at_ > options_.outage_after) {
+        return on_listing(std::vector(listed_), read_at);
+    }
+    read_at_ = read_at;
+    return {};
+}
+
 void backend_directory::disown(std::string_view id) {
     const auto found = servers_.find(id);
     if (found == servers_.end()) {
--- a/src/fleet_state/backend_servers.hpp
+++ b/src/fleet_state/backend_servers.hpp
@@ -60,6 +60,9 @@
     std::vector<directory_change> on_listing(
         const std::vector<backend_server>& listed, base::time_point read_at);
 
+    // The last listing was still the newest one at `read_at`.
+    std::vector<directory_change> on_unchanged(base::time_point read_at);
+
     // Removes one server at once, for example after its address answered under
     // another id. A later listing that still names this start is ignored.
     void disown(std::string_view id);
@@ -85,6 +88,8 @@
     // By id: the start that was disowned.
     std::map<std::string, std::uint64_t, std::less<>> disowned_;
     bool known_ = false;
+    // The last listing, for the times at which it is only confirmed.
+    std::vector<backend_server> listed_;
     base::time_point read_at_{};
     base::time_point keep_missing_until_{};
 };
--- /dev/null
+++ b/tests/entry_path/entry_path_test.py
@@ -0,0 +1,449 @@
+"""The whole path of an entry daemon, by separate processes on loopback.
+
+Run by CTest: entry_path_test.py <path of bronzehub-entryd>. Each test names
+the failure that it guards against.
+"""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+
+from platform_standin import (
+    REQUEST_ID,
+    Replica,
+    SIGNATURE,
+    Store,
+    configuration,
+    read_message,
+    route,
+)
+
+PROGRAM = ""
+
+ROUTES = [
+    route("/read/", "idempotent"),
+    route("/pay/", "non_idempotent"),
+    route("/open/", "idempotent", public=True),
+    route("/chat/", "streaming", "model", max_attempts=1, session_affinity=True),
+    route("/plan/", "streaming", "model", session_affinity=True, stream_resumption=True),
+    route("/slow/", "non_idempotent", timeout_ms=300),
+]
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+class Daemon:
+    """One process of the program under test."""
+
+    def __init__(self, store, name="host-1"):
+        self.callers, self.ready, self.operators, self.peers = free_ports(4)
+        self.settings = tempfile.NamedTemporaryFile("w", suffix=".json")
+        json.dump(
+            {
+                "host": {"name": name, "failure_domain": "a"},
+                "listeners": {
+                    "callers": f"127.0.0.1:{self.callers}",
+                    "readiness": f"127.0.0.1:{self.ready}",
+                    "operators": f"127.0.0.1:{self.operators}",
+                    "peers": f"127.0.0.1:{self.peers}",
+                },
+                "store": {"address": f"127.0.0.1:{store.port}"},
+                "bounds": {
+                    "revocation_ms": 3000,
+                    "retry_ratio": 0.5,
+                    "retry_extra": 100,
+                },
+            },
+            self.settings,
+        )
+        self.settings.flush()
+        self.log = tempfile.TemporaryFile("w+")
+        self.process = subprocess.Popen(
+            [PROGRAM, "--settings", self.settings.name],
+            stdout=self.log,
+            stderr=subprocess.STDOUT,
+        )
+
+    def lines(self):
+        self.log.seek(0)
+        return [json.loads(line) for line in self.log if line.startswith("{")]
+
+    def stop(self):
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        self.settings.close()
+        self.log.close()
+
+
+async def send(port, path, method="GET", key="key-1", body=b"", request_id="r-1", **other):
+    """Sends one request on a new connection; returns the open connection."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    headers = {
+        "Host": "h.example",
+        REQUEST_ID: request_id,
+        "Bronzehub-Deadline-Ms": "2500",
+        "Content-Length": str(len(body)),
+    }
+    if key:
+        headers["Api-Key"] = key
+    headers.update({name.replace("_", "-"): value for name, value in other.items()})
+    lines = [f"{method} {path} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+    return reader, writer
+
+
+async def ask(port, path, **options):
+    """Sends one request; returns (status, headers, body)."""
+    reader, writer = await send(port, path, **options)
+    try:
+        line, headers, body = await asyncio.wait_for(read_message(reader), 10)
+    finally:
+        writer.close()
+    return int(line.split(" ")[1]), headers, body
+
+
+async def eventually(check, seconds=3.0):
+    """Waits until `check` holds; returns how long that took."""
+    began = time.monotonic()
+    while not await check():
+        if time.monotonic() - began > seconds:
+            raise AssertionError(f"did not come true within {seconds} s")
+        await asyncio.sleep(0.02)
+    return time.monotonic() - began
+
+
+class EntryPath(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = Store()
+        await self.store.start()
+        self.plain = [Replica(self.store, f"p-{i}", "plain") for i in range(2)]
+        self.model = [Replica(self.store, f"m-{i}", "model") for i in range(2)]
+        for replica in self.plain + self.model:
+            await replica.start()
+        for replica in self.model:
+            replica.act = "stream"
+        self.store.write_json("op", "config", configuration(1, ROUTES))
+        self.daemon = Daemon(self.store)
+        await eventually(self.is_ready, 8)
+
+    async def asyncTearDown(self):
+        self.daemon.stop()
+        for listener in self.plain + self.model + [self.store]:
+            await listener.stop()
+
+    async def is_ready(self, daemon=None):
+        try:
+            status, _, _ = await ask((daemon or self.daemon).ready, "/api/readiness")
+            return status == 200
+        except (OSError, asyncio.IncompleteReadError):
+            return False
+
+    def ask(self, path, **options):
+        return ask(self.daemon.callers, path, **options)
+
+    def set_all(self, replicas, act):
+        for replica in replicas:
+            replica.act = act
+
+    def runs(self, replicas):
+        return [run for replica in replicas for run in replica.runs]
+
+    # Guards against a key that reaches a backend server, and against a request
+    # that is changed on the way.
+    async def test_a_request_reaches_its_service_unchanged(self):
+        status, headers, body = await self.ask(
+            "/pay/x?y=1",
+            method="POST",
+            body=b"content",
+            Bronzehub_Tenant="forged",
+            Bronzehub_Retention="forged",
+        )
+        self.assertEqual((status, body), (200, b"whole"))
+        self.assertIn(SIGNATURE.lower(), headers)
+        [(request_id, seen, sent, line)] = self.runs(self.plain)
+        self.assertEqual((request_id, sent), ("r-1", b"content"))
+        self.assertEqual(line, "POST /pay/x?y=1 HTTP/1.1")
+        self.assertEqual(seen["bronzehub-tenant"], "org-1")
+        self.assertNotIn("api-key", seen)
+        self.assertNotIn("bronzehub-retention", seen)
+        self.assertLessEqual(int(seen["bronzehub-deadline-ms"]), 2500)
+
+    # Guards against requests that are turned away or let in wrongly.
+    async def test_routes_and_keys_decide_who_is_served(self):
+        for path, options, expected in [
+            ("/nowhere/", {}, 404),
+            ("/read/", {"key": "unknown"}, 401),
+            ("/read/", {"key": ""}, 401),
+            ("/open/", {"key": ""}, 200),
+            ("/pay/", {"method": "POST", "body": b"x" * 1001}, 413),
+            ("/read/", {"X_Large": "x" * 5000}, 431),
+        ]:
+            with self.subTest(path=path, options=str(options)[:40]):
+                status, _, _ = await self.ask(path, **options)
+                self.assertEqual(status, expected)
+        self.assertEqual(len(self.runs(self.plain)), 1)
+
+    # Guards against a request that runs twice, and against a refusal that says
+    # "not run" of one that may have run.
+    async def test_each_broken_answer_ends_as_its_kind_allows(self):
+        for act, path, expected, runs in [
+            ("drop", "/pay/", 502, 1),
+            ("truncate", "/pay/", 502, 1),
+            ("garbage", "/pay/", 502, 1),
+            ("unsigned", "/pay/", 502, 1),
+            ("error", "/pay/", 500, 1),
+            ("shed", "/pay/", 503, 0),
+            ("drop", "/read/", 502, 2),
+            ("truncate", "/read/", 502, 2),
+            ("unsigned", "/read/", 502, 2),
+            ("error", "/read/", 500, 2),
+            ("foreign_first", "/pay/", 200, 1),
+            ("extra", "/pay/", 200, 1),
+        ]:
+            with self.subTest(act=act, path=path):
+                for replica in self.plain:
+                    replica.runs.clear()
+                self.set_all(self.plain, act)
+                method = "POST" if path == "/pay/" else "GET"
+                status, headers, body = await self.ask(path, method=method)
+                self.assertEqual(status, expected)
+                self.assertEqual(len(self.runs(self.plain)), runs)
+                self.assertEqual("retry-after" in headers, expected == 503)
+                if status == 200:
+                    self.assertEqual(body, b"whole")
+
+    # Guards against one bad server that fails what another one could serve.
+    async def test_a_repeatable_request_goes_on_at_another_server(self):
+        for act in ["drop", "truncate", "error", "shed", "unsigned"]:
+            with self.subTest(act=act):
+                self.plain[0].act = act
+                for _ in range(4):
+                    status, _, _ = await self.ask("/read/")
+                    self.assertEqual(status, 200)
+
+    # Guards against half an event, a gap or a repeat.
+    async def test_streams_are_relayed_by_whole_events(self):
+        status, _, body = await self.ask("/chat/", method="POST", body=b"q")
+        self.assertEqual(status, 200)
+        self.assertEqual(body.count(b"\n\n"), 3)
+
+    async def test_a_resumable_stream_goes_on_behind_its_last_event(self):
+        self.model[0].act = "stream_cut"
+        for number in range(4):
+            status, _, body = await self.ask(
+                "/plan/",
+                method="POST",
+                request_id=f"s-{number}",
+                Bronzehub_Prompt_Prefix=f"a{number}:2000,b{number}:100",
+            )
+            ids = [line for line in body.decode().split("\n") if line.startswith("id")]
+            self.assertEqual((status, ids), (200, ["id: 1", "id: 2", "id: 3"]))
+
+    # Guards against a cut stream that looks complete.
+    async def test_a_cut_stream_does_not_look_complete(self):
+        self.set_all(self.model, "stream_cut")
+        reader, writer = await send(self.daemon.callers, "/chat/", method="POST")
+        received = await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+        self.assertIn(b"id: 1\n", received)
+        self.assertNotIn(b"id: 2\n", received)
+        self.assertFalse(received.endswith(b"0\r\n\r\n"))
+        self.assertEqual(len(self.runs(self.model)), 1)
+
+    # Guards against work for a caller who has left.
+    async def test_a_caller_who_leaves_ends_the_work(self):
+        self.set_all(self.plain, "wait")
+        _, writer = await send(self.daemon.callers, "/pay/", method="POST")
+
+        async def runs():
+            return len(self.runs(self.plain)) == 1
+
+        await eventually(runs)
+        left_at = time.monotonic()
+        writer.close()
+
+        async def abandoned():
+            return any(replica.abandoned for replica in self.plain)
+
+        await eventually(abandoned)
+        self.assertLess(time.monotonic() - left_at, 0.5)
+
+    # Guards against callers who are kept past the route's time.
+    async def test_a_request_ends_at_its_routes_timeout(self):
+        self.set_all(self.plain, "wait")
+        began = time.monotonic()
+        status, _, _ = await self.ask("/slow/", method="POST")
+        self.assertEqual(status, 504)
+        self.assertLess(time.monotonic() - began, 0.8)
+
+    # Guards against an old configuration that stays in force.
+    async def test_a_new_configuration_is_in_force_soon(self):
+        for fault in ["", "compact"]:
+            self.store.fault = fault
+            version = 2 if fault == "" else 3
+            prefix = f"/new{version}/"
+            self.store.write_json(
+                "op",
+                "config",
+                configuration(version, ROUTES + [route(prefix, "idempotent")]),
+            )
+
+            async def served():
+                return (await self.ask(prefix))[0] == 200
+
+            self.assertLess(await eventually(served), 2)
+
+    async def test_a_damaged_configuration_changes_nothing(self):
+        self.store.write("op", "config", b"{broken")
+        await asyncio.sleep(1)
+        self.assertEqual((await self.ask("/read/"))[0], 200)
+
+    # Guards against a key that works after it was taken away.
+    async def test_a_key_that_is_taken_away_is_refused(self):
+        self.store.write_json("op", "config", configuration(2, ROUTES, keys=()))
+
+        async def refused():
+            return (await self.ask("/read/"))[0] == 401
+
+        self.assertLess(await eventually(refused), 2)
+
+    # Guards against work for a server that is leaving or was never one.
+    async def test_a_leaving_server_gets_nothing_new(self):
+        self.plain[0].register("draining")
+        self.store.write("servers", "x-1", b"{\"service\": 7}")
+        await asyncio.sleep(1.5)
+        self.plain[0].runs.clear()
+        for _ in range(6):
+            self.assertEqual((await self.ask("/read/"))[0], 200)
+        self.assertEqual(self.plain[0].runs, [])
+
+    # Guards against an outage of the store that stops what needs no key, and
+    # against keys that are trusted without knowing whether they still hold.
+    async def test_an_outage_of_the_store(self):
+        for fault in ["refuse", "silent", "rate"]:
+            with self.subTest(fault=fault):
+                self.store.fault = fault
+
+                async def rejected():
+                    self.assertEqual((await self.ask("/open/", key=""))[0], 200)
+                    return (await self.ask("/read/"))[0] == 503
+
+                await eventually(rejected, 4)
+                self.store.fault = ""
+
+                async def served():
+                    return (await self.ask("/read/"))[0] == 200
+
+                await eventually(served, 4)
+
+    # Guards against planned work that cuts a running stream.
+    async def test_a_stop_finishes_what_runs(self):
+        for replica in self.model:
+            replica.events, replica.pause = 20, 0.05
+        running = asyncio.create_task(self.ask("/chat/", method="POST"))
+        await asyncio.sleep(0.3)
+        self.daemon.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.2)
+        self.assertFalse(await self.is_ready())
+        self.assertEqual((await self.ask("/read/"))[0], 200)
+        status, _, body = await running
+        self.assertEqual((status, body.count(b"\n\n")), (200, 20))
+        await eventually(self.has_ended, 6)
+        self.assertEqual(self.daemon.process.returncode, 0)
+        messages = [line["message"] for line in self.daemon.lines()]
+        for expected in ["starting", "draining", "stopped"]:
+            self.assertIn(expected, messages)
+
+    async def has_ended(self):
+        return self.daemon.process.poll() is not None
+
+    # Guards against refused and failed requests that nobody can explain.
+    async def test_a_failed_request_is_found_by_its_id(self):
+        self.set_all(self.plain, "drop")
+        await self.ask("/pay/", method="POST", request_id="lost-1")
+        await asyncio.sleep(0.2)
+        lines = [
+            line for line in self.daemon.lines() if line.get("request_id") == "lost-1"
+        ]
+        self.assertEqual(lines[-1]["outcome"], "failed")
+        self.assertEqual(lines[-1]["cause"], "broken")
+        self.assertTrue(lines[-1]["server"].startswith("p-"))
+        self.assertNotIn("key-1", json.dumps(lines))
+
+    # Guards against a request that is hidden inside another one.
+    async def test_ambiguous_requests_are_refused(self):
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.daemon.callers
+        )
+        writer.write(
+            b"POST /pay/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /read/ HTTP/1.1\r\n"
+            b"Host: h.example\r\n\r\n"
+        )
+        line, _, _ = await read_message(reader)
+        writer.close()
+        self.assertIn(" 400 ", line)
+        self.assertEqual(self.runs(self.plain), [])
+
+    # Guards against an engine that is filled twice by two hosts.
+    async def test_two_hosts_share_the_slots_of_an_engine(self):
+        for replica in self.model:
+            replica.events, replica.pause = 10, 0.1
+        second = Daemon(self.store, "host-2")
+        try:
+            await eventually(lambda: self.is_ready(second), 8)
+            await asyncio.sleep(0.3)
+            calls = [
+                ask(
+                    (self.daemon if number % 2 else second).callers,
+                    "/chat/",
+                    method="POST",
+                    request_id=f"c-{number}",
+                )
+                for number in range(16)
+            ]
+            results = await asyncio.gather(*calls)
+            statuses = [status for status, _, _ in results]
+            self.assertEqual(statuses.count(200), 8)
+            self.assertEqual(statuses.count(503), 8)
+            self.assertEqual([len(replica.runs) for replica in self.model], [4, 4])
+        finally:
+            second.stop()
+
+
+class BadSettings(unittest.TestCase):
+    def test_every_fault_is_named_and_nothing_starts(self):
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            file.write('{"host": {"name": ""}, "store": {"address": "x"}}')
+            file.flush()
+            result = subprocess.run(
+                [PROGRAM, "--settings", file.name],
+                capture_output=True,
+                text=True,
+                timeout=10,
+            )
+        self.assertEqual(result.returncode, 4)
+        for named in ["host.name", "host.failure_domain", "store.address", "listeners"]:
+            self.assertIn(named, result.stderr)
+
+
+if __name__ == "__main__":
+    PROGRAM = os.path.abspath(sys.argv.pop(1))
+    unittest.main(verbosity=1)
--- /dev/null
+++ b/tests/entry_path/platform_standin.py
@@ -0,0 +1,332 @@
+"""A stand-in for the users' platform: its row store and its backend servers.
+
+It speaks the published formats over loopback TCP and can be told to fail in
+the ways that the platform may. Everything runs on one asyncio loop; the
+daemons under test are separate processes.
+"""
+
+import asyncio
+import base64
+import json
+import time
+from urllib.parse import parse_qs, urlsplit
+
+SIGNATURE = "Bronzehub-Replica-Signature"
+REQUEST_ID = "Bronzehub-Attempt-Id"
+
+
+async def read_message(reader):
+    """Reads one request or response; returns (first line, headers, body)."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        if line:
+            name, _, value = line.partition(":")
+            headers[name.strip().lower()] = value.strip()
+    body = b""
+    if headers.get("transfer-encoding") == "chunked":
+        while True:
+            size = int((await reader.readline()).strip(), 16)
+            chunk = await reader.readexactly(size + 2)
+            if size == 0:
+                break
+            body += chunk[:-2]
+    elif "content-length" in headers:
+        body = await reader.readexactly(int(headers["content-length"]))
+    return lines[0], headers, body
+
+
+def response(status, headers=None, body=b""):
+    lines = [f"HTTP/1.1 {status} X"]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+class Listener:
+    """A TCP server on loopback that ends its connections when it stops."""
+
+    def __init__(self):
+        self.port = 0
+        self.server = None
+        self.tasks = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def accept(self, reader, writer):
+        task = asyncio.current_task()
+        self.tasks.add(task)
+        try:
+            await self.serve(reader, writer)
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
+            pass  # The connection ended.
+        finally:
+            self.tasks.discard(task)
+            writer.close()
+
+    async def stop(self):
+        self.server.close()
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+class Store(Listener):
+    """Rows by (table, key), a version counter and a change feed."""
+
+    def __init__(self):
+        super().__init__()
+        self.rows = {}
+        self.version = 0
+        self.changed = asyncio.Event()
+        self.calls = []
+        # One of: "", "refuse", "silent", "rate", "compact".
+        self.fault = ""
+
+    def write(self, table, key, value):
+        self.version += 1
+        self.rows[(table, key)] = (value, self.version)
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
+
+    def write_json(self, table, key, value):
+        self.write(table, key, json.dumps(value).encode())
+
+    def encode(self, table, after=-1):
+        return [
+            {
+                "table-name": table,
+                "part": "",
+                "key": key,
+                "value": base64.b64encode(value).decode(),
+                "row-version": version,
+            }
+            for (owner, key), (value, version) in sorted(self.rows.items())
+            if owner == table and version > after
+        ]
+
+    async def serve(self, reader, writer):
+        while True:
+            line, _, body = await read_message(reader)
+            writer.write(await self.answer(line, body))
+            await writer.drain()
+
+    async def answer(self, line, body):
+        method, target, _ = line.split(" ")
+        self.calls.append(target)
+        if self.fault == "silent":
+            await asyncio.sleep(60)
+        if self.fault == "refuse":
+            return response(503)
+        if self.fault == "rate":
+            return response(429)
+        parts = urlsplit(target)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        result = {}
+        if parts.path == "/api/rows-get":
+            result = {"rows": self.encode(query["table-name"]), "has-more": False}
+        elif parts.path == "/api/rows-feed":
+            if self.fault == "compact":
+                return response(410)
+            rows = self.encode(query["table-name"], int(query["after"]))
+            deadline = time.monotonic() + int(query["wait-ms"]) / 1000
+            while not rows and time.monotonic() < deadline:
+                try:
+                    await asyncio.wait_for(
+                        self.changed.wait(), deadline - time.monotonic()
+                    )
+                except asyncio.TimeoutError:
+                    break
+                rows = self.encode(query["table-name"], int(query["after"]))
+            result = {"rows": rows}
+        elif method == "POST" and parts.path == "/api/rows-tx":
+            for row in json.loads(body)["write"]:
+                self.write(
+                    row["table-name"], row["key"], base64.b64decode(row["value"])
+                )
+        else:
+            return response(404)
+        result["row-version"] = self.version
+        result["current-time-ms"] = int(time.monotonic() * 1000)
+        text = json.dumps(result).encode()
+        return response(200, {"Content-Type": "application/json"}, text)
+
+
+class Replica(Listener):
+    """A backend server whose behaviour a test chooses by `act`."""
+
+    def __init__(self, store, name, service, slots=8, domain="a"):
+        super().__init__()
+        self.store = store
+        self.name = name
+        self.service = service
+        self.slots = slots
+        self.domain = domain
+        # Requests that began to run: (id, headers, body, target).
+        self.runs = []
+        # Arrivals whose connection the other side closed before the end.
+        self.abandoned = []
+        # What to do with a request: a name of a method `act_...`.
+        self.act = "answer"
+        self.events = 3
+        self.pause = 0.01
+
+    async def start(self):
+        await super().start()
+        self.register("available")
+
+    def register(self, state):
+        self.store.write_json(
+            "servers",
+            self.name,
+            {
+                "service": self.service,
+                "address": f"127.0.0.1:{self.port}",
+                "availability-zone": self.domain,
+                "version": "v1",
+                "capacity-slots": self.slots,
+                "state": state,
+                "cold-remaining-ms": 0,
+                "sequence": 1,
+                "born": 1,
+            },
+        )
+
+    async def serve(self, reader, writer):
+        while True:
+            line, headers, body = await read_message(reader)
+            request_id = headers.get(REQUEST_ID.lower(), "")
+            if headers.get("bronzehub-expected-replica") not in (None, self.name):
+                writer.write(response(421, {"Bronzehub-Replica-Id": self.name}))
+            elif self.act == "shed":
+                writer.write(
+                    response(503, {"Bronzehub-Not-Executed": 1, REQUEST_ID: request_id})
+                )
+            else:
+                self.runs.append((request_id, headers, body, line))
+                action = getattr(self, "act_" + self.act)
+                if not await action(reader, writer, request_id, headers):
+                    return
+            await writer.drain()
+
+    def head(self, request_id, extra=""):
+        return (
+            f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {request_id}\r\n{SIGNATURE}: "
+            f"{self.name}\r\n{extra}"
+        )
+
+    async def act_answer(self, _reader, writer, request_id, _headers):
+        await asyncio.sleep(self.pause)
+        writer.write(
+            response(200, {REQUEST_ID: request_id, SIGNATURE: self.name}, b"whole")
+        )
+        return True
+
+    async def act_error(self, _reader, writer, request_id, _headers):
+        writer.write(
+            response(500, {REQUEST_ID: request_id, SIGNATURE: self.name}, b"error")
+        )
+        return True
+
+    async def act_drop(self, _reader, _writer, _request_id, _headers):
+        return False
+
+    async def act_truncate(self, _reader, writer, request_id, _headers):
+        writer.write(
+            (self.head(request_id, "Content-Length: 10\r\n\r\n") + "half").encode()
+        )
+        return False
+
+    async def act_garbage(self, _reader, writer, _request_id, _headers):
+        writer.write(b"\x00\x01 this is no response\r\n\r\n")
+        return False
+
+    async def act_unsigned(self, _reader, writer, request_id, _headers):
+        writer.write(response(200, {REQUEST_ID: request_id}, b"unsigned"))
+        return True
+
+    async def act_foreign_first(self, _reader, writer, request_id, _headers):
+        writer.write(
+            response(200, {REQUEST_ID: "another", SIGNATURE: self.name}, b"foreign")
+        )
+        return await self.act_answer(_reader, writer, request_id, _headers)
+
+    async def act_extra(self, _reader, writer, request_id, _headers):
+        await self.act_answer(_reader, writer, request_id, _headers)
+        writer.write(
+            response(200, {REQUEST_ID: request_id, SIGNATURE: self.name}, b"extra")
+        )
+        return True
+
+    async def act_wait(self, reader, _writer, request_id, _headers):
+        if not await reader.read(1):
+            self.abandoned.append((request_id, time.monotonic()))
+        return False
+
+    async def stream(self, writer, request_id, headers, stop_after):
+        extra = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        writer.write(self.head(request_id, extra).encode())
+        first = int(headers.get("last-event-id", 0)) + 1
+        for number in range(first, self.events + 1):
+            event = f"id: {number}\ndata: {number}.{self.name}\n\n".encode()
+            if number > stop_after:
+                event = event[: len(event) // 2]
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            if number > stop_after:
+                return False
+            await asyncio.sleep(self.pause)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    async def act_stream(self, _reader, writer, request_id, headers):
+        return await self.stream(writer, request_id, headers, self.events)
+
+    async def act_stream_cut(self, _reader, writer, request_id, headers):
+        return await self.stream(writer, request_id, headers, 1)
+
+
+def configuration(version, routes, keys=("key-1",)):
+    """A configuration with a plain and a model service."""
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "plain", "connection-limit": 100},
+            {
+                "name": "model",
+                "connection-limit": 100,
+                "inference-engine": {
+                    "capacity-slots": 4,
+                    "kv-capacity-tokens": 100000,
+                },
+            },
+        ],
+        "limits": {
+            "max-header-bytes": 4096,
+            "max-body-bytes": 1000,
+            "header-timeout-ms": 3000,
+            "idle-timeout-ms": 15000,
+        },
+        "tenants": [{"name": "org-1", "api-keys": list(keys)}],
+    }
+
+
+def route(prefix, kind, service="plain", **other):
+    result = {
+        "name": prefix,
+        "hostname": "h.example",
+        "path-prefix": prefix,
+        "route-kind": kind,
+        "timeout-ms": 3000,
+        "target-latency-ms": 300,
+        "priority-level": 1,
+        "service": service,
+        "max-attempts": 2,
+        "public": False,
+    }
+    result.update({name.replace("_", "-"): value for name, value in other.items()})
+    return result
