Give long prompt parts few homes, and ask fewer engines that were full

A long part now has two homes and one more for each request of late that found them full (part_heat); a server nearby follows only after a failed attempt. An ask that was refused in the last 60 ms is not repeated. Engines are prepared for their choice once for each listing.

--- a/src/entry/backend_status.cpp
+++ b/src/entry/backend_status.cpp
@@ -30,6 +30,9 @@
 }
 
 bool backend_status::allows(std::string_view server) {
+    if (!limited_.contains(server)) {
+        return true;
+    }
     const server_status& status = of(server);
     const std::uint32_t allowed =
         status.health.allowed(unlimited, clock_.now());
@@ -60,11 +63,19 @@
     } else {
         status.health.on_failure(epoch, clock_.now());
     }
+    if (status.health.state() == capacity::health_state::healthy) {
+        if (const auto found = limited_.find(server); found != limited_.end()) {
+            limited_.erase(found);
+        }
+    } else {
+        limited_.emplace(server);
+    }
 }
 
 void backend_status::forget(std::string_view server) {
     const auto found = servers_.find(server);
     if (found != servers_.end() && found->second.in_flight == 0) {
+        limited_.erase(found->first);
         servers_.erase(found);
     }
 }
--- a/src/entry/backend_status.hpp
+++ b/src/entry/backend_status.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -38,9 +39,13 @@
 
     void forget(std::string_view server);
 
+    // Whether any server is limited by its recent results.
+    bool any_limited() const { return !limited_.empty(); }
+
 private:
     base::clock clock_;
     std::map<std::string, server_status, std::less<>> servers_;
+    std::set<std::string, std::less<>> limited_;
 };
 
 }  // namespace bronzehub::entry
--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -38,6 +38,8 @@
 constexpr double retry_spread = 0.25;
 constexpr milliseconds store_retry{1000};
 constexpr milliseconds no_server_retry{1000};
+// When no schedule said when to come back.
+constexpr milliseconds longest_full_retry{20000};
 constexpr milliseconds draining_retry{100};
 // Retries reach other hosts, which have time.
 constexpr milliseconds overloaded_retry{50};
@@ -51,10 +53,6 @@
 constexpr int gateway_timeout = 504;
 constexpr int first_server_error = 500;
 
-std::string start_name(const fleet_state::backend_server& server) {
-    return absl::StrCat(server.id, "/", server.started_at_ms);
-}
-
 }  // namespace
 
 call::call(call_environment& environment,
@@ -211,22 +209,36 @@
 }
 
 void call::place_engine() {
-    const auto servers = environment_.servers.available(service_->name);
-    std::vector<const fleet_state::backend_server*> usable;
-    std::ranges::copy_if(servers, std::back_inserter(usable),
-                         [&](const auto* server) {
-                             return !avoided_.contains(server->id) &&
-                                    environment_.status.allows(server->id);
-                         });
+    const auto all = environment_.engines.of(service_->name);
+    std::vector<overload::engine_candidate> usable;
+    usable.reserve(all.size());
+    const bool any_limited = environment_.status.any_limited();
+    std::ranges::copy_if(
+        all, std::back_inserter(usable), [&](const auto& each) {
+            return !avoided_.contains(each.server->id) &&
+                   (!any_limited ||
+                    environment_.status.allows(each.server->id));
+        });
     if (usable.empty()) {
-        std::ranges::copy_if(
-            servers, std::back_inserter(usable),
-            [&](const auto* server) { return !avoided_.contains(server->id); });
-    }
+        // Every engine failed of late: one of them may be back.
+        std::ranges::copy_if(all, std::back_inserter(usable),
+                             [&](const auto& each) {
+                                 return !avoided_.contains(each.server->id);
+                             });
+    }
+    std::ranges::for_each(usable, [&](auto& each) {
+        if (environment_.schedule.was_full(each.server->id)) {
+            each.free = 0;
+        }
+    });
     const auto chosen = overload::choose_engines(
         {description_.prompt, environment_.failure_domain,
-         base::stable_hash(description_.id)},
-        usable, engine_candidates);
+         base::stable_hash(description_.id), !avoided_.empty()},
+        usable,
+        overload::has_far_homes(description_.prompt)
+            ? environment_.heat.homes(
+                  overload::shared_parts(description_.prompt).back().id)
+            : engine_candidates);
     candidates_.clear();
     std::ranges::transform(chosen, std::back_inserter(candidates_),
                            [](const auto* server) { return server->id; });
@@ -243,6 +255,7 @@
     const fleet_state::backend_server& server, bool may_wait) const {
     place_request result;
     result.engine = start_name(server);
+    result.server = server.id;
     result.failure_domain = server.failure_domain;
     result.options = {.slots = service_->engine_slots,
                       .memory_tokens = service_->engine_memory_tokens};
@@ -271,15 +284,19 @@
 void call::ask_next_engine() {
     const bool last_round = next_candidate_ >= candidates_.size();
     if (last_round && std::exchange(waiting_round_, true)) {
-        refuse("engines full", shortest_retry_);
+        refuse_full();
         return;
     }
     const std::string id =
         last_round ? candidates_.front() : candidates_[next_candidate_++];
+    if (!waiting_round_ && environment_.schedule.was_full(id)) {
+        ask_next_engine();
+        return;
+    }
     const auto* server = environment_.servers.find_available(id);
     if (server == nullptr) {
         if (waiting_round_) {
-            refuse("engines full", no_server_retry);
+            refuse_full();
         } else {
             ask_next_engine();
         }
@@ -298,6 +315,15 @@
     }
 }
 
+void call::refuse_full() {
+    if (overload::has_far_homes(description_.prompt)) {
+        environment_.heat.on_full(
+            overload::shared_parts(description_.prompt).back().id);
+    }
+    refuse("engines full",
+           std::min<base::duration>(shortest_retry_, longest_full_retry));
+}
+
 void call::on_place(const place_answer& answer, const std::string& server_id) {
     report_.owner = answer.owner;
     if (!answer.granted) {
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -15,11 +15,13 @@
 #include "entry/backend_status.hpp"
 #include "entry/call_report.hpp"
 #include "entry/caller_connection.hpp"
+#include "entry/engine_pool.hpp"
 #include "entry/event_relay.hpp"
 #include "entry/fleet_watch.hpp"
 #include "entry/schedule_link.hpp"
 #include "overload/attempt_policy.hpp"
 #include "overload/host_load.hpp"
+#include "overload/part_heat.hpp"
 #include "overload/retry_window.hpp"
 
 namespace bronzehub::entry {
@@ -29,10 +31,12 @@
     event_loop& loop;
     const fleet_watch& fleet;
     fleet_state::backend_directory& servers;
+    engine_pool& engines;
     backend_pool& pool;
     backend_status& status;
     schedule_link& schedule;
     overload::retry_window& retries;
+    overload::part_heat& heat;
     call_reporter& reporter;
     std::string failure_domain;
     // Keys that were read longer ago than this may have been taken away.
@@ -75,6 +79,7 @@
     void place();
     void place_plain();
     void place_engine();
+    void refuse_full();
     void ask_next_engine();
     void on_place(const place_answer& answer, const std::string& server);
     place_request make_place_request(const fleet_state::backend_server& server,
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -104,11 +104,13 @@
       hosts_({settings_.host.name, settings_.listeners.peers,
               settings_.host.failure_domain},
              loop_.clock()),
+      engines_(servers_),
       pool_(loop_),
       status_(loop_.clock()),
       retries_({settings_.bounds.retry_ratio, settings_.bounds.retry_extra,
                 from_ms(settings_.bounds.retry_window_ms)},
                loop_.clock()),
+      heat_(loop_.clock()),
       reporter_(log_, figures_, loop_.clock()),
       load_(loop_.clock()),
       datagrams_(loop_.context()),
@@ -132,10 +134,12 @@
       environment_{loop_,
                    fleet_,
                    servers_,
+                   engines_,
                    pool_,
                    status_,
                    schedule_,
                    retries_,
+                   heat_,
                    reporter_,
                    settings_.host.failure_domain,
                    from_ms(settings_.bounds.revocation_ms) - key_margin,
@@ -459,6 +463,7 @@
 
 void entry_node::housekeeping() {
     pool_.reap();
+    heat_.prune();
     retries_.set_hosts(hosts_.announced());
     if (is_ready() != was_ready_) {
         was_ready_ = is_ready();
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -69,9 +69,11 @@
     std::uint64_t incarnation_;
     fleet_state::backend_directory servers_;
     host_directory hosts_;
+    engine_pool engines_;
     backend_pool pool_;
     backend_status status_;
     overload::retry_window retries_;
+    overload::part_heat heat_;
     call_reporter reporter_;
     overload::host_load load_;
     base::time_point last_tick_{};
--- a/src/entry/schedule_link.cpp
+++ b/src/entry/schedule_link.cpp
@@ -136,7 +136,9 @@
     result.owner = entry.owner.name;
     if (result.granted) {
         entry.granted = true;
+        refused_at_.erase(entry.request.server);
     } else {
+        refused_at_[entry.request.server] = clock_.now();
         pending_.erase(found);
     }
     hook(result);
@@ -198,6 +200,12 @@
     send_message(entry.owner.address, std::move(message));
 }
 
+bool schedule_link::was_full(std::string_view server) const {
+    const auto found = refused_at_.find(server);
+    return found != refused_at_.end() &&
+           clock_.now() - found->second < full_hint_lifetime;
+}
+
 void schedule_link::release(std::uint64_t number) {
     const auto found = pending_.find(number);
     if (found == pending_.end()) {
@@ -369,6 +377,9 @@
         send_message(address, std::move(message));
     }
     const base::time_point now = clock_.now();
+    std::erase_if(refused_at_, [&](const auto& entry) {
+        return now - entry.second > full_hint_lifetime;
+    });
     std::erase_if(remotes_, [&](const auto& remote) {
         if (now - remote.second.listed_at < host_lost_after) {
             return false;
--- a/src/entry/schedule_link.hpp
+++ b/src/entry/schedule_link.hpp
@@ -23,6 +23,8 @@
 
 struct place_request {
     std::string engine;
+    // Id of the engine's backend server.
+    std::string server;
     std::string failure_domain;
     overload::engine_options options;
     // `id` is filled in.
@@ -61,6 +63,9 @@
     // A grant may be on its way while an inventory is.
     static constexpr std::chrono::milliseconds grant_in_flight{300};
 
+    // How long a refused ask speaks against the next one. An engine frees a
+    // slot about this often.
+    static constexpr std::chrono::milliseconds full_hint_lifetime{60};
     // Waiting work whose answer is out this long after its latest start: the
     // owner or the answer was lost.
     static constexpr std::chrono::milliseconds answer_in_flight{100};
@@ -80,6 +85,10 @@
     void first_event(std::uint64_t number, base::duration since_grant,
                      bool in_time);
 
+    // Whether a place on this server was refused so lately that asking again is
+    // hardly worth it.
+    bool was_full(std::string_view server) const;
+
     // Gives the place back, or withdraws the ask.
     void release(std::uint64_t number);
 
@@ -153,6 +162,8 @@
     };
     // By host name and incarnation, as in the ids of work.
     std::map<std::string, remote_host> remotes_;
+    // By server id: when a place was last refused.
+    std::map<std::string, base::time_point, std::less<>> refused_at_;
     figures figures_;
 };
 
--- a/src/fleet_state/backend_servers.cpp
+++ b/src/fleet_state/backend_servers.cpp
@@ -28,6 +28,7 @@
         }
         const auto [entry, inserted] = servers_.try_emplace(server.id, server);
         if (inserted) {
+            ++generation_;
             changes.push_back({kind::added, server.id, server.service});
             continue;
         }
@@ -39,7 +40,10 @@
                                    : kind::added,
                                server.id, server.service});
         }
-        entry->second = server;
+        if (entry->second != server) {
+            entry->second = server;
+            ++generation_;
+        }
     }
     if (clock_.now() < keep_missing_until_) {
         return changes;
@@ -50,6 +54,7 @@
             return false;
         }
         changes.push_back({kind::removed, entry.first, entry.second.service});
+        ++generation_;
         return true;
     });
     std::erase_if(disowned_, [&](const auto& entry) {
@@ -78,6 +83,7 @@
     }
     disowned_[found->first] = found->second.started_at_ms;
     servers_.erase(found);
+    ++generation_;
 }
 
 const backend_server* backend_directory::find_available(
--- a/src/fleet_state/backend_servers.hpp
+++ b/src/fleet_state/backend_servers.hpp
@@ -78,6 +78,9 @@
         return servers_;
     }
 
+    // Changes whenever a server comes, goes or changes.
+    std::uint64_t generation() const { return generation_; }
+
     bool known() const { return known_; }
     base::time_point read_at() const { return read_at_; }
 
@@ -87,6 +90,7 @@
     std::map<std::string, backend_server, std::less<>> servers_;
     // By id: the start that was disowned.
     std::map<std::string, std::uint64_t, std::less<>> disowned_;
+    std::uint64_t generation_ = 0;
     bool known_ = false;
     // The last listing, for the times at which it is only confirmed.
     std::vector<backend_server> listed_;
--- a/src/overload/placement.cpp
+++ b/src/overload/placement.cpp
@@ -1,7 +1,8 @@
 #include "overload/placement.hpp"
 
 #include <algorithm>
-#include <utility>
+#include <functional>
+#include <iterator>
 
 #include "base/hash.hpp"
 
@@ -11,58 +12,78 @@
 using fleet_state::backend_server;
 using fleet_state::prompt_part;
 
-using scored = std::pair<std::uint64_t, const backend_server*>;
-
-std::vector<scored> score(std::span<const backend_server* const> servers,
-                          std::uint64_t key) {
-    std::vector<scored> result;
-    result.reserve(servers.size());
-    std::ranges::transform(servers, std::back_inserter(result),
-                           [key](const backend_server* server) {
-                               return scored{base::stable_hash(server->id, key),
-                                             server};
-                           });
-    return result;
+// Spreads the bits of a sum of two hashes (the finaliser of splitmix64).
+std::uint64_t mix(std::uint64_t value) {
+    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31U);
 }
 
+struct ranked {
+    // Higher is tried first.
+    int preference = 0;
+    std::uint64_t score = 0;
+    const backend_server* server = nullptr;
+
+    bool operator>(const ranked& other) const {
+        return preference != other.preference ? preference > other.preference
+                                              : score > other.score;
+    }
+};
+
 }  // namespace
 
 std::span<const prompt_part> shared_parts(std::span<const prompt_part> prompt) {
     return prompt.empty() ? prompt : prompt.first(prompt.size() - 1);
 }
 
+bool has_far_homes(std::span<const prompt_part> prompt) {
+    const auto shared = shared_parts(prompt);
+    return !shared.empty() && shared.back().tokens >= far_home_tokens;
+}
+
+engine_candidate make_candidate(const backend_server& server) {
+    return {&server, base::stable_hash(server.id), std::nullopt};
+}
+
 std::vector<const backend_server*> choose_engines(
     const placement_request& request,
-    std::span<const backend_server* const> servers, std::size_t count) {
+    std::span<const engine_candidate> candidates, std::size_t count) {
     const auto shared = shared_parts(request.prompt);
-    const bool has_home = !shared.empty();
-    const bool far = has_home && shared.back().tokens >= far_home_tokens;
-    auto scores = score(servers, has_home ? shared.back().id : request.spread);
-    const auto is_near = [&](const scored& entry) {
-        return entry.second->failure_domain == request.failure_domain;
+    const std::uint64_t key =
+        shared.empty() ? request.spread : shared.back().id;
+    const bool far = has_far_homes(request.prompt);
+    const auto is_near = [&](const backend_server& server) {
+        return server.failure_domain == request.failure_domain;
     };
-    const bool any_near = std::ranges::any_of(scores, is_near);
-    std::ranges::sort(scores, [&](const scored& a, const scored& b) {
-        if (!far && any_near && is_near(a) != is_near(b)) {
-            return is_near(a);
-        }
-        return a.first > b.first;
-    });
-    // A prompt whose homes are all elsewhere still gets one server nearby, for
-    // the time in which the other failure domains are out of reach.
-    if (far && any_near && scores.size() > count && count > 0) {
-        const auto kept = std::span(scores).first(count);
-        if (std::ranges::none_of(kept, is_near)) {
-            const auto near = std::ranges::find_if(scores, is_near);
-            std::swap(scores[count - 1], *near);
-        }
+    std::vector<ranked> ranks;
+    ranks.reserve(candidates.size());
+    for (const engine_candidate& candidate : candidates) {
+        const bool near = is_near(*candidate.server);
+        const bool full = candidate.free && *candidate.free == 0;
+        // The homes of a long part stay its homes while they are full: reading
+        // it elsewhere takes more from others than waiting does. Without one, a
+        // server with room elsewhere is worth more than a full one nearby.
+        const int preference = far ? 0 : (full ? 0 : 2) + (near ? 1 : 0);
+        ranks.push_back(
+            {preference, mix(candidate.hash + key), candidate.server});
     }
+    count = std::min(count, ranks.size());
+    const auto chosen = ranks.begin() + static_cast<std::ptrdiff_t>(count);
+    std::ranges::partial_sort(ranks, chosen, std::greater<>());
     std::vector<const backend_server*> result;
-    for (const scored& entry : scores) {
-        if (result.size() == count) {
-            break;
+    std::transform(ranks.begin(), chosen, std::back_inserter(result),
+                   [](const ranked& rank) { return rank.server; });
+    if (far && request.homes_failed &&
+        std::ranges::none_of(result, [&](const backend_server* server) {
+            return is_near(*server);
+        })) {
+        const auto near = std::find_if(
+            chosen, ranks.end(),
+            [&](const ranked& rank) { return is_near(*rank.server); });
+        if (near != ranks.end()) {
+            result.push_back(near->server);
         }
-        result.push_back(entry.second);
     }
     return result;
 }
--- a/src/overload/placement.hpp
+++ b/src/overload/placement.hpp
@@ -8,6 +8,7 @@
 #define BRONZEHUB_OVERLOAD_PLACEMENT_HPP
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -22,18 +23,36 @@
 // bytes that the request moves there.
 inline constexpr std::uint32_t far_home_tokens = 1024;
 
+// An engine with what its choice needs, prepared once for each listing.
+struct engine_candidate {
+    const fleet_state::backend_server* server = nullptr;
+    // Of the id; equal on all hosts.
+    std::uint64_t hash = 0;
+    // Requests that it could start at once when last heard, if known.
+    std::optional<std::uint32_t> free;
+};
+
 struct placement_request {
     std::span<const fleet_state::prompt_part> prompt;
     std::string_view failure_domain;
     // Spreads requests without a shared part.
     std::uint64_t spread = 0;
+    // A home could not be reached or broke off: the others may be cut off with
+    // it, so a server nearby comes after them.
+    bool homes_failed = false;
 };
 
-// Up to `count` servers in the order in which they should be tried.
+// Up to `count` servers in the order in which they should be tried. Servers
+// that are known to be full come after the others of their class.
 std::vector<const fleet_state::backend_server*> choose_engines(
     const placement_request& request,
-    std::span<const fleet_state::backend_server* const> servers,
-    std::size_t count);
+    std::span<const engine_candidate> candidates, std::size_t count);
+
+// Whether the prompt's longest shared part is worth going to another failure
+// domain for.
+bool has_far_homes(std::span<const fleet_state::prompt_part> prompt);
+
+engine_candidate make_candidate(const fleet_state::backend_server& server);
 
 // The parts that other requests may share: all but the last.
 std::span<const fleet_state::prompt_part> shared_parts(
