Pause between reads of the store also when they are wanted at once

Cause: a host that knew of a newer configuration and could not reach the store asked again every 100 ms, and all hosts asked without a pause until the first configuration was written. Each host logs a summary with its store calls every 10 s.

--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -29,7 +29,7 @@
 constexpr milliseconds housekeeping_interval{500};
 constexpr milliseconds drain_check{50};
 constexpr milliseconds settings_check{2000};
-constexpr milliseconds omitted_interval{10000};
+constexpr milliseconds summary_interval{10000};
 // Taken off the revocation bound for the time in which the store may hold a
 // change back from its watchers, and for the way of a request.
 constexpr milliseconds key_margin{1500};
@@ -196,7 +196,7 @@
     loop_.every(schedule_link::inventory_interval,
                 [this] { schedule_.exchange_inventory(); });
     loop_.every(housekeeping_interval, [this] { housekeeping(); });
-    loop_.every(omitted_interval, [this] { reporter_.report_omitted(); });
+    loop_.every(summary_interval, [this] { log_summary(); });
     loop_.every(settings_check, [this] { reload(); });
     return absl::OkStatus();
 }
@@ -398,8 +398,15 @@
     };
     const auto store = fleet_.read();
     const auto schedule = schedule_.read();
-    set("bronzehub_entry_store_calls", "Calls of the store since the start.",
-        static_cast<double>(store.calls));
+    set("bronzehub_entry_store_configuration_calls",
+        "Calls of the store for the configuration.",
+        static_cast<double>(store.configuration_calls));
+    set("bronzehub_entry_store_server_calls",
+        "Calls of the store for backend servers.",
+        static_cast<double>(store.server_calls));
+    set("bronzehub_entry_store_host_calls",
+        "Calls of the store for entry hosts.",
+        static_cast<double>(store.host_calls));
     set("bronzehub_entry_store_failures",
         "Calls of the store without a usable response.",
         static_cast<double>(store.failures));
@@ -435,6 +442,25 @@
             .count());
 }
 
+void entry_node::log_summary() {
+    reporter_.report_omitted();
+    const auto store = fleet_.read();
+    const auto schedule = schedule_.read();
+    log_.info(
+        "summary",
+        {field("calls", calls_.size()),
+         field("connections", callers_.connections()),
+         field("hosts", hosts_.announced()),
+         field("reader_rank", hosts_.reader_rank()),
+         field("store_configuration_calls", store.configuration_calls),
+         field("store_server_calls", store.server_calls),
+         field("store_host_calls", store.host_calls),
+         field("store_failures", store.failures), field("asks", schedule.asks),
+         field("owners_passed_over", schedule.owners_passed_over),
+         field("lateness_ms", load_.lateness()),
+         field("lines_dropped", lines_.dropped())});
+}
+
 std::string entry_node::dump() {
     const auto schedule = schedule_.read();
     nlohmann::json result = {
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -57,6 +57,7 @@
     void tick();
     void refresh_figures();
     std::string dump();
+    void log_summary();
     void housekeeping();
 
     entry_settings settings_;
--- a/src/entry/fleet_watch.cpp
+++ b/src/entry/fleet_watch.cpp
@@ -87,9 +87,10 @@
 
 void fleet_watch::decide() {
     reading& configuration = configuration_reading_;
-    if (!configuration.in_progress &&
-        (configuration_outdated_ ||
-         is_due(configuration, configuration_known_at_))) {
+    const bool may_read =
+        !configuration.in_progress && loop_.now() >= configuration.next_at;
+    if (may_read && (configuration_outdated_ ||
+                     is_due(configuration, configuration_known_at_))) {
         configuration.in_progress = true;
         // A watch is for the host that reads all the time; the others read the
         // newest state, whatever they missed.
@@ -174,10 +175,12 @@
     take_configuration(read.rows);
     configuration_known_at_ =
         std::max(configuration_known_at_, read_time(read, sent_at));
-    if (configuration_) {
-        relay_.on_configuration_read(configuration_->version(),
-                                     read.store_time);
+    if (!configuration_) {
+        // The operators have not written it yet.
+        configuration_reading_.next_at = loop_.now() + absent_pause;
+        return;
     }
+    relay_.on_configuration_read(configuration_->version(), read.store_time);
     decide();
 }
 
@@ -313,8 +316,8 @@
 }
 
 fleet_watch::figures fleet_watch::read() const {
-    return {configuration_client_.calls() + servers_client_.calls() +
-                hosts_client_.calls(),
+    return {configuration_client_.calls(), servers_client_.calls(),
+            hosts_client_.calls(),
             configuration_client_.failures() + servers_client_.failures() +
                 hosts_client_.failures(),
             bad_rows_};
--- a/src/entry/fleet_watch.hpp
+++ b/src/entry/fleet_watch.hpp
@@ -34,6 +34,8 @@
     static constexpr std::chrono::milliseconds listing_interval{600};
     static constexpr std::chrono::milliseconds first_pause{100};
     static constexpr std::chrono::milliseconds longest_pause{800};
+    // Until the operators write the first configuration.
+    static constexpr std::chrono::milliseconds absent_pause{300};
     // How often it is decided whether this host reads.
     static constexpr std::chrono::milliseconds decision_interval{100};
 
@@ -62,7 +64,9 @@
     bool is_ready() const { return configuration_ && servers_.known(); }
 
     struct figures {
-        std::uint64_t calls = 0;
+        std::uint64_t configuration_calls = 0;
+        std::uint64_t server_calls = 0;
+        std::uint64_t host_calls = 0;
         std::uint64_t failures = 0;
         std::uint64_t bad_rows = 0;
     };
