Ask callers to close their connections before descriptors run out

Cause: on the grown sites one host gets the callers of a large organisation, who connect anew for each request.

--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -163,7 +163,7 @@
                     }
                     return limits;
                 },
-                [this] { return stopping_ || !load_.is_ready(); }}),
+                [this] { return closes_connections(); }}),
       readiness_(loop_, simple_hooks([this](const auto& caller, const auto&) {
                      on_ready_request(caller);
                  })),
@@ -369,6 +369,13 @@
     schedule_.tick();
 }
 
+// Whether callers are asked to close their connections after a response.
+bool entry_node::closes_connections() const {
+    return stopping_ || !load_.is_ready() ||
+           static_cast<double>(callers_.connections()) >
+               idle_descriptor_share * settings_.limits.descriptors;
+}
+
 bool entry_node::is_ready() const {
     return !stopping_ && fleet_.is_ready() && load_.is_ready();
 }
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -36,6 +36,10 @@
     // Callers keep being sent here until the platform has asked twice, once a
     // second, whether this host is ready.
     static constexpr std::chrono::milliseconds serve_on_after_stop{3000};
+    // Part of the descriptors that callers' idle connections may take. A crowd
+    // of callers that connect anew for each request would otherwise use up all
+    // of them within an idle timeout.
+    static constexpr double idle_descriptor_share = 0.25;
     // Left of the grace period for what is still running when it ends.
     static constexpr std::chrono::milliseconds exit_margin{400};
 
@@ -54,6 +58,7 @@
                              const caller_request& request);
     void on_ready_request(const std::shared_ptr<caller_connection>& caller);
     bool is_ready() const;
+    bool closes_connections() const;
     void tick();
     void refresh_figures();
     std::string dump();
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -41,6 +41,8 @@
 constexpr number_range time_ms{1, 3'600'000};
 constexpr number_range share{0, 10};
 constexpr number_range count{0, 1'000'000};
+// Below this, listeners, store and log leave nothing for callers.
+constexpr number_range descriptor_count{30, 10'000'000};
 
 }  // namespace
 
@@ -80,6 +82,13 @@
     }
 };
 
+template <>
+struct json_form<entry::entry_limit_settings> {
+    static void fields(auto& form, auto& value) {
+        form.optional("descriptors", value.descriptors, descriptor_count);
+    }
+};
+
 template <>
 struct json_form<entry::entry_log_settings> {
     static void fields(auto& form, auto& value) {
@@ -94,6 +103,7 @@
         form.required("listeners", value.listeners);
         form.required("store", value.store);
         form.optional("bounds", value.bounds);
+        form.optional("limits", value.limits);
         form.optional("log", value.log);
     }
 };
--- a/src/entry/entry_settings.hpp
+++ b/src/entry/entry_settings.hpp
@@ -39,6 +39,11 @@
     double retry_window_ms = 10000;
 };
 
+struct entry_limit_settings {
+    // Descriptors that the process may open.
+    double descriptors = 1024;
+};
+
 struct entry_log_settings {
     std::string level = "info";
 };
@@ -48,6 +53,7 @@
     entry_listener_settings listeners;
     entry_store_settings store;
     entry_bound_settings bounds;
+    entry_limit_settings limits;
     entry_log_settings log;
 };
 
--- a/src/entry/entry_settings_test.cpp
+++ b/src/entry/entry_settings_test.cpp
@@ -41,6 +41,7 @@
         {R"({"store":{"address":"nowhere"}})", "listeners"},
         {"{", "JSON"},
         {"", "JSON"},
+        {R"({"limits":{"descriptors":3}})", "limits.descriptors"},
         {R"({"log":{"level":"loud"}})", "log.level"},
         {R"({"log":{},"log":{}})", "log"},
     }));
--- a/tests/entry_path/entry_path_test.py
+++ b/tests/entry_path/entry_path_test.py
@@ -68,6 +68,7 @@
                     "retry_ratio": 0.5,
                     "retry_extra": 100,
                 },
+                "limits": {"descriptors": 100},
             },
             self.settings,
         )
@@ -285,6 +286,20 @@
         await eventually(abandoned)
         self.assertLess(time.monotonic() - left_at, 0.5)
 
+    # Guards against idle connections that use up all descriptors.
+    async def test_many_callers_are_asked_to_close_their_connections(self):
+        closes = []
+        open_connections = []
+        for number in range(30):
+            reader, writer = await send(self.daemon.callers, "/read/")
+            open_connections.append(writer)
+            _, headers, _ = await asyncio.wait_for(read_message(reader), 5)
+            closes.append(headers.get("connection") == "close")
+        for writer in open_connections:
+            writer.close()
+        self.assertFalse(any(closes[:20]))
+        self.assertTrue(all(closes[26:]))
+
     # Guards against callers who are kept past the route's time.
     async def test_a_request_ends_at_its_routes_timeout(self):
         self.set_all(self.plain, "wait")
