--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -59,6 +59,12 @@
     void on_caller_gone();
 
 private:
+    // Part of the time to the first event in which a request may wait for a
+    // place; the engine needs the rest to read the prompt.
+    static constexpr double waiting_share = 0.5;
+    // When no server is left to try: a listing is at most this old.
+    static constexpr std::chrono::milliseconds no_server_retry{1000};
+
     struct attempt {
         std::string server;
         std::uint64_t health_epoch = 0;
--- a/src/fleet_state/configuration.hpp
+++ b/src/fleet_state/configuration.hpp
@@ -59,8 +59,6 @@
 
 struct service {
     std::string name;
-    // Connections that one backend server accepts from all hosts together.
-    std::uint32_t connection_limit = 0;
     // Requests that one engine runs at a time; zero for a plain service.
     std::uint32_t engine_slots = 0;
     // Tokens that fit in one engine's memory.
--- a/src/overload/placement.cpp
+++ b/src/overload/placement.cpp
@@ -43,7 +43,7 @@
 }
 
 engine_candidate make_candidate(const backend_server& server) {
-    return {&server, base::stable_hash(server.id), std::nullopt};
+    return {&server, base::stable_hash(server.id), false};
 }
 
 std::vector<const backend_server*> choose_engines(
@@ -60,11 +60,11 @@
     ranks.reserve(candidates.size());
     for (const engine_candidate& candidate : candidates) {
         const bool near = is_near(*candidate.server);
-        const bool full = candidate.free && *candidate.free == 0;
         // The homes of a long part stay its homes while they are full: reading
         // it elsewhere takes more from others than waiting does. Without one, a
         // server with room elsewhere is worth more than a full one nearby.
-        const int preference = far ? 0 : (full ? 0 : 2) + (near ? 1 : 0);
+        const int preference =
+            far ? 0 : (candidate.full ? 0 : 2) + (near ? 1 : 0);
         ranks.push_back(
             {preference, mix(candidate.hash + key), candidate.server});
     }
--- a/src/overload/placement.hpp
+++ b/src/overload/placement.hpp
@@ -8,7 +8,6 @@
 #define BRONZEHUB_OVERLOAD_PLACEMENT_HPP
 
 #include <cstdint>
-#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -28,8 +27,8 @@
     const fleet_state::backend_server* server = nullptr;
     // Of the id; equal on all hosts.
     std::uint64_t hash = 0;
-    // Requests that it could start at once when last heard, if known.
-    std::optional<std::uint32_t> free;
+    // It refused a place a moment ago.
+    bool full = false;
 };
 
 struct placement_request {
--- a/src/overload/placement_test.cpp
+++ b/src/overload/placement_test.cpp
@@ -91,7 +91,7 @@
     servers fleet(18);
     for (auto& candidate : fleet.engines) {
         const bool near = candidate.server->failure_domain == "a";
-        candidate.free = near && candidate.server->id != "i-3" ? 0 : 5;
+        candidate.full = near && candidate.server->id != "i-3";
     }
     const std::vector<prompt_part> prompt{{7, 80}, {9, 600}};
     const auto chosen = choose_engines({prompt, "a", 3}, fleet.engines, 3);
@@ -108,7 +108,7 @@
     const std::vector<prompt_part> prompt{{7, 4900}, {9, 600}};
     const auto before = choose_engines({prompt, "a", 3}, fleet.engines, 2);
     for (auto& candidate : fleet.engines) {
-        candidate.free = candidate.server == before[0] ? 0 : 5;
+        candidate.full = candidate.server == before[0];
     }
     CHECK(choose_engines({prompt, "a", 3}, fleet.engines, 2) == before);
 }
