--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -6,7 +6,7 @@
 packages=(
     g++ cmake ninja-build ccache pkg-config git python3
     clang-format-19 clang-tidy-19
-    librestinio-dev libasio-dev libfmt-dev libnghttp2-dev
+    librestinio-dev libhttp-parser-dev libasio-dev libfmt-dev libnghttp2-dev
     libcurl4-openssl-dev libssl-dev libboost-dev libdocopt-dev
     liblog4cplus-dev libabsl-dev nlohmann-json3-dev libmsgpack-cxx-dev
     liburcu-dev catch2 librapidcheck-dev
--- /dev/null
+++ b/scripts/run_soak.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Runs the fault soak on the programs in build/: run_soak.sh <first seed>
+# <last seed> [seconds]. Four seeds at a time; JOBS=2 for fewer. Prints the
+# seeds that failed and keeps their output in build/soak/.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+first="$1"
+last="$2"
+seconds="${3:-8}"
+mkdir -p build/soak
+seq "$first" "$last" | xargs -P "${JOBS:-4}" -I{} sh -c \
+    "timeout 120 python3 tests/soak/soak.py build/bin/bronzehub-entryd \
+        --seed {} --seconds $seconds >build/soak/{}.txt 2>&1 &&
+     rm build/soak/{}.txt || echo 'seed {} failed: build/soak/{}.txt'"
--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -27,7 +27,10 @@
     body = b""
     if headers.get("transfer-encoding") == "chunked":
         while True:
-            size = int((await reader.readline()).strip(), 16)
+            line = await reader.readline()
+            if not line.endswith(b"\n"):
+                raise asyncio.IncompleteReadError(line, None)
+            size = int(line, 16)
             chunk = await reader.readexactly(size + 2)
             if size == 0:
                 break
