--- a/src/entry/host_directory.cpp
+++ b/src/entry/host_directory.cpp
@@ -68,6 +68,7 @@
 
 std::vector<entry_host> host_directory::others() const {
     std::vector<entry_host> result;
+    result.reserve(hosts_.size());
     for (const auto& [name, known] : hosts_) {
         result.push_back(known.host);
     }
--- a/src/entry/knowledge_relay.cpp
+++ b/src/entry/knowledge_relay.cpp
@@ -68,7 +68,7 @@
 }
 
 void knowledge_relay::send(const std::string& to,
-                           schedule_message message) const {
+                           const schedule_message& message) const {
     send_(to, encode_message(message));
 }
 
@@ -138,7 +138,7 @@
             listing_.begin() + static_cast<std::ptrdiff_t>(begin),
             listing_.begin() + static_cast<std::ptrdiff_t>(end));
         message.listing.push_back(std::move(content));
-        send(to, std::move(message));
+        send(to, message);
     }
 }
 
--- a/src/entry/knowledge_relay.hpp
+++ b/src/entry/knowledge_relay.hpp
@@ -73,7 +73,7 @@
                       const knowledge_message& knowledge);
     void on_part(const listing_message& part);
     void send_listing(const std::string& to);
-    void send(const std::string& to, schedule_message message) const;
+    void send(const std::string& to, const schedule_message& message) const;
     schedule_message make(message_type type) const;
 
     host_directory& hosts_;
--- a/src/fleet_state/read_duty_test.cpp
+++ b/src/fleet_state/read_duty_test.cpp
@@ -16,6 +16,7 @@
 
 TEST_CASE("each host of a failure domain has a rank of its own") {
     std::vector<std::string> hosts;
+    hosts.reserve(23);
     for (int i = 0; i < 23; ++i) {
         hosts.push_back("h" + std::to_string(i));
     }
