Explain a request's course and cause from logs

`bronzehub explain ID LOG...` reads the logs of any number of entry daemons, prints the lines of the request in order of time, with the change of its host that led to a refusal, and names the cause in one sentence.

--- a/src/cli/cli_test.cpp
+++ b/src/cli/cli_test.cpp
@@ -167,6 +167,21 @@
     CHECK(text.find("\"colour\"") != std::string::npos);
 }
 
+// Guards against logs of some hosts that are left out unsaid.
+TEST_CASE("explain reads all logs that are named, or standard input") {
+    fake_tool tool;
+    tool.files["a"] =
+        R"({"time":"1","message":"call ended","request_id":"r-1",)"
+        R"("outcome":"refused","cause":"engines full"})";
+    tool.files["-"] = tool.files["a"];
+    CHECK(tool.run({"explain", "r-1", "a"}) == exit_code::done);
+    CHECK(tool.run({"explain", "r-1"}) == exit_code::done);
+    CHECK(tool.out.str().find("Cause: No engine") != std::string::npos);
+    CHECK(tool.run({"explain", "r-2", "a"}) == exit_code::refused);
+    CHECK(tool.run({"explain", "r-1", "a", "absent"}) ==
+          exit_code::invalid_input);
+}
+
 // Guards against output that hides columns or nested values.
 TEST_CASE("a document becomes lines and tables") {
     const document value = document::parse(R"({
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -20,6 +20,7 @@
 constexpr std::string_view usage =
     R"(Usage:
   bronzehub check-settings FILE [options]
+  bronzehub explain REQUEST [LOG...] [options]
   bronzehub status [options]
   bronzehub dump [options]
   bronzehub metrics [options]
@@ -47,6 +48,9 @@
   Check a settings file; every fault is reported in one run:
     bronzehub check-settings examples/bronzehubd.json
 
+  Tell from logs of entry daemons what became of a request, and why:
+    bronzehub explain 8052d7ecfe56c4ae host-*.log
+
   See whether a daemon is ready and what it knows of the fleet:
     bronzehub status --address 10.1.0.11:8081 --key-file operator.key
 
@@ -95,6 +99,7 @@
 verb find_verb(const arguments_map& parsed) {
     constexpr std::array verbs{
         named_verb{"check-settings", verb::check_settings},
+        named_verb{"explain", verb::explain},
         named_verb{"status", verb::status},
         named_verb{"dump", verb::dump},
         named_verb{"metrics", verb::metrics},
@@ -155,6 +160,11 @@
     }
     result.object_kind = find_object_kind(parsed);
     result.object_name = text_of(parsed, "NAME");
+    result.request = text_of(parsed, "REQUEST");
+    if (const auto found = parsed.find("LOG");
+        found != parsed.end() && found->second.isStringList()) {
+        result.logs = found->second.asStringList();
+    }
     if (const auto found = parsed.find("FIELD");
         found != parsed.end() && found->second.isStringList()) {
         result.fields = found->second.asStringList();
--- a/src/cli/command_line.hpp
+++ b/src/cli/command_line.hpp
@@ -25,6 +25,7 @@
     help,
     version,
     check_settings,
+    explain,
     status,
     dump,
     metrics,
@@ -39,8 +40,10 @@
 
 struct command_line {
     verb action = verb::help;
-    std::string file;         // Of check-settings and plan create.
-    std::string plan;         // Id of a plan.
+    std::string file;               // Of check-settings and plan create.
+    std::vector<std::string> logs;  // Of explain; empty: standard input.
+    std::string request;            // Id of a request.
+    std::string plan;               // Id of a plan.
     std::string object_kind;  // organisation, share, key, service or backend.
     std::string object_name;
     std::vector<std::string> fields;  // FIELD=VALUE texts.
--- a/src/cli/tool.cpp
+++ b/src/cli/tool.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
+#include "cli/explanation.hpp"
 #include "cli/formatting.hpp"
 #include "protocol/messages.hpp"
 #include "settings/settings.hpp"
@@ -234,6 +235,35 @@
     environment.out << dump_json({{"faults", faults}});
 }
 
+exit_code explain_from_logs(const command_line& command,
+                            const tool_environment& environment) {
+    const std::vector<std::string> names =
+        command.logs.empty() ? std::vector<std::string>{"-"} : command.logs;
+    std::vector<log_source> sources;
+    for (const std::string& name : names) {
+        auto content = environment.read_file(name);
+        if (!content.ok()) {
+            return report(
+                environment,
+                {exit_code::invalid_input,
+                 absl::StrCat(name, ": ",
+                              std::string(content.status().message())),
+                 "Give the paths of readable log files."});
+        }
+        sources.push_back({name, *std::move(content)});
+    }
+    const auto explanation = explain_request(command.request, sources);
+    if (!explanation.ok()) {
+        return report(
+            environment,
+            {exit_code::refused, std::string(explanation.status().message()),
+             "Give the logs of all hosts from the time of the "
+             "request."});
+    }
+    environment.out << *explanation;
+    return exit_code::done;
+}
+
 exit_code check_settings(const command_line& command,
                          const tool_environment& environment) {
     const auto content = environment.read_file(command.file);
@@ -316,6 +346,8 @@
             return show_version(command, environment);
         case verb::check_settings:
             return check_settings(command, environment);
+        case verb::explain:
+            return explain_from_logs(command, environment);
         case verb::status:
             return show_status(command, environment);
         case verb::dump:
