Conclude from a few servers that a failure domain is cut off

Change: three servers of another failure domain that don't answer a connect within 1.5 s, with none that does, speak for the domain; one request in 250 ms tries it.

Ruled out: a shorter connect time-out, as links of other sites are not known.

--- a/src/entry/backend_connection.cpp
+++ b/src/entry/backend_connection.cpp
@@ -120,7 +120,7 @@
     const auto timer =
         loop_.after(connect_timeout, [self = shared_from_this(), socket] {
             if (self->connecting_ == socket) {
-                self->end(exchange_end::not_sent, "connect timed out");
+                self->end(exchange_end::unreachable, "connect timed out");
             }
         });
     asio::error_code error;
--- a/src/entry/backend_connection.hpp
+++ b/src/entry/backend_connection.hpp
@@ -21,6 +21,8 @@
     complete,
     // No byte of the request left this host.
     not_sent,
+    // The same, as the server's host did not answer the connect in time.
+    unreachable,
     // Anything else; the request may have run.
     broken,
 };
--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -166,11 +166,13 @@
     outgoing.headers = platform_wire::encode_forwarded(request_.headers, added);
     outgoing.body = request_.body;
 
+    environment_.reach.on_sent(server.failure_domain);
     auto& status = environment_.status.of(server.id);
     ++status.in_flight;
     ++attempts_sent_;
     attempt started;
     started.server = server.id;
+    started.failure_domain = server.failure_domain;
     started.health_epoch = status.health.epoch();
     started.sent_at = environment_.loop.now();
     started.connection = environment_.pool.acquire(
@@ -275,15 +277,16 @@
         environment_.load.event_hold(environment_.delivery_limit);
     if (hold > base::duration(0)) {
         attempt_->connection->pause();
-        environment_.pacer.hold(
-            hold, [connection = attempt_->connection] { connection->resume(); });
+        environment_.pacer.hold(hold, [connection = attempt_->connection] {
+            connection->resume();
+        });
     }
 }
 
 overload::attempt_end call::judge(exchange_end how) const {
     using overload::attempt_end;
     const attempt& now = *attempt_;
-    if (how == exchange_end::not_sent) {
+    if (how == exchange_end::not_sent || how == exchange_end::unreachable) {
         return attempt_end::not_sent;
     }
     if (how == exchange_end::broken) {
@@ -310,10 +313,26 @@
     }
     const bool good = end == overload::attempt_end::answered &&
                       attempt_->status < first_server_error;
+    note_reach(how);
     end_attempt(good, how == exchange_end::complete);
     after_attempt(end, reason);
 }
 
+// What the end of an attempt tells of the server's failure domain.
+void call::note_reach(exchange_end how) {
+    auto& reach = environment_.reach;
+    const std::string& domain = attempt_->failure_domain;
+    const bool was_cut_off = reach.is_cut_off(domain);
+    if (how == exchange_end::unreachable) {
+        reach.on_unreachable(domain, attempt_->server);
+    } else if (how == exchange_end::complete) {
+        reach.on_reached(domain);
+    }
+    if (was_cut_off != reach.is_cut_off(domain)) {
+        environment_.reporter.on_domain(domain, !was_cut_off, report_);
+    }
+}
+
 // Ends the accounting of an attempt. Its data stays for the response.
 void call::end_attempt(bool good, bool keep_connection) {
     auto& status = environment_.status.of(attempt_->server);
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -21,6 +21,7 @@
 #include "entry/read_pacer.hpp"
 #include "entry/schedule_link.hpp"
 #include "overload/attempt_policy.hpp"
+#include "overload/domain_reach.hpp"
 #include "overload/host_load.hpp"
 #include "overload/part_heat.hpp"
 #include "overload/retry_window.hpp"
@@ -38,6 +39,7 @@
     schedule_link& schedule;
     overload::retry_window& retries;
     overload::part_heat& heat;
+    overload::domain_reach& reach;
     call_reporter& reporter;
     std::string failure_domain;
     // Keys that were read longer ago than this may have been taken away.
@@ -71,6 +73,7 @@
 
     struct attempt {
         std::string server;
+        std::string failure_domain;
         std::uint64_t health_epoch = 0;
         std::shared_ptr<backend_connection> connection;
         base::time_point sent_at{};
@@ -100,6 +103,7 @@
     void relay_events(std::string_view bytes);
     void pace_reading();
     void on_end(exchange_end how, std::string_view reason);
+    void note_reach(exchange_end how);
     overload::attempt_end judge(exchange_end how) const;
     void after_attempt(overload::attempt_end end, std::string_view reason);
     void carry_out(overload::attempt_action action,
--- a/src/entry/call_placement.cpp
+++ b/src/entry/call_placement.cpp
@@ -68,7 +68,8 @@
                 server, environment_.status.of(server->id).in_flight,
                 environment_.status.reported(server->id),
                 environment_.status.allows(server->id) &&
-                    !avoided_.contains(server->id)};
+                    !avoided_.contains(server->id) &&
+                    !environment_.reach.is_cut_off(server->failure_domain)};
         });
     const auto* chosen =
         overload::choose_plain(candidates, environment_.failure_domain);
@@ -93,9 +94,13 @@
     std::vector<overload::engine_candidate> usable;
     usable.reserve(all.size());
     const bool any_limited = environment_.status.any_limited();
+    const auto probed = environment_.reach.due_probe();
     std::ranges::copy_if(
         all, std::back_inserter(usable), [&](const auto& each) {
+            const std::string& domain = each.server->failure_domain;
             return !avoided_.contains(each.server->id) &&
+                   (!environment_.reach.is_cut_off(domain) ||
+                    domain == probed) &&
                    (!any_limited ||
                     environment_.status.allows(each.server->id));
         });
@@ -158,8 +163,8 @@
             ? environment_.loop.now() + target
             : request_.arrived_at + duration_cast<base::duration>(
                                         waiting_share * seconds(target));
-    work.give_up_by = response_started_ ? work.start_by
-                                        : request_.arrived_at + target;
+    work.give_up_by =
+        response_started_ ? work.start_by : request_.arrived_at + target;
     work.may_wait = may_wait;
     return result;
 }
--- a/src/entry/call_report.cpp
+++ b/src/entry/call_report.cpp
@@ -95,6 +95,15 @@
                      field("events", so_far.events)});
 }
 
+void call_reporter::on_domain(std::string_view domain, bool cut_off,
+                              const call_report& shown_by) {
+    log_.warning(
+        cut_off ? "failure domain cut off" : "failure domain reached again",
+        {field("failure_domain", domain),
+         field("request_id", shown_by.request_id),
+         field("server", shown_by.server)});
+}
+
 void call_reporter::report_omitted() {
     if (omitted_ > 0) {
         log_.info("lines left out",
--- a/src/entry/call_report.hpp
+++ b/src/entry/call_report.hpp
@@ -73,6 +73,10 @@
     // A step of a call that is worth a line: a repeat, a resumed stream.
     void on_step(const call_report& so_far, std::string_view step,
                  std::string_view why);
+    // A failure domain is cut off from this host, or reached again, as the end
+    // of this call's attempt showed.
+    void on_domain(std::string_view domain, bool cut_off,
+                   const call_report& shown_by);
     // Logs how many lines were left out since the last time.
     void report_omitted();
 
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -113,6 +113,7 @@
                 from_ms(settings_.bounds.retry_window_ms)},
                loop_.clock()),
       heat_(loop_.clock()),
+      reach_(settings_.host.failure_domain, loop_.clock()),
       reporter_(log_, figures_, loop_.clock()),
       load_(loop_.clock()),
       pacer_(loop_.clock()),
@@ -143,6 +144,7 @@
                    schedule_,
                    retries_,
                    heat_,
+                   reach_,
                    reporter_,
                    settings_.host.failure_domain,
                    from_ms(settings_.bounds.revocation_ms) - key_margin,
@@ -153,26 +155,25 @@
                    load_,
                    pacer_,
                    from_ms(settings_.bounds.delivery_ms)},
-      callers_(loop_,
-               {[this](const std::shared_ptr<caller_connection>& caller,
-                       caller_request request) {
-                    on_request(caller, std::move(request));
-                },
-                [this](caller_connection& caller) { on_gone(caller); }, nullptr,
-                [this] {
-                    listener_limits limits;
-                    if (const auto& configuration = fleet_.configuration()) {
-                        const auto& from = configuration->limits();
-                        limits = {from.header_bytes, from.body_bytes,
-                                  from.header_timeout, from.idle_timeout};
-                    }
-                    return limits;
-                },
-                [this] { return closes_connections(); },
-                [this] { return load_.accept(); },
-                [this](const message_head& head) {
-                    return refuse_early(head);
-                }}),
+      callers_(
+          loop_,
+          {[this](const std::shared_ptr<caller_connection>& caller,
+                  caller_request request) {
+               on_request(caller, std::move(request));
+           },
+           [this](caller_connection& caller) { on_gone(caller); }, nullptr,
+           [this] {
+               listener_limits limits;
+               if (const auto& configuration = fleet_.configuration()) {
+                   const auto& from = configuration->limits();
+                   limits = {from.header_bytes, from.body_bytes,
+                             from.header_timeout, from.idle_timeout};
+               }
+               return limits;
+           },
+           [this] { return closes_connections(); },
+           [this] { return load_.accept(); },
+           [this](const message_head& head) { return refuse_early(head); }}),
       readiness_(loop_, simple_hooks([this](const auto& caller, const auto&) {
                      on_ready_request(caller);
                  })),
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -82,6 +82,7 @@
     backend_status status_;
     overload::retry_window retries_;
     overload::part_heat heat_;
+    overload::domain_reach reach_;
     call_reporter reporter_;
     overload::host_load load_;
     read_pacer pacer_;
--- a/src/entry/http_listener.cpp
+++ b/src/entry/http_listener.cpp
@@ -19,8 +19,8 @@
 using asio::ip::tcp;
 
 // Enough for some thousands of connections a second when a turn takes some tens
-// of ms: connections that wait in the kernel don't show as lateness of the loop,
-// so their callers would give up unseen.
+// of ms: connections that wait in the kernel don't show as lateness of the
+// loop, so their callers would give up unseen.
 constexpr std::size_t accepts_per_turn = 64;
 // Pause after a failed accept, for example when descriptors run out.
 constexpr std::chrono::milliseconds accept_pause{50};
@@ -126,8 +126,8 @@
         close(handle);
         return;
     }
-    auto connection = std::make_shared<caller_connection>(
-        loop_, std::move(socket), hooks_);
+    auto connection =
+        std::make_shared<caller_connection>(loop_, std::move(socket), hooks_);
     connections_.insert(connection);
     if (admitted) {
         connection->admit();
--- a/src/entry/read_pacer.hpp
+++ b/src/entry/read_pacer.hpp
@@ -1,8 +1,8 @@
 // Holds back the next read of streams on a host that is short of time.
 //
 // Each read and write of a stream costs the same for one event as for several.
-// A host that runs late reads a stream only so often that its events stay within
-// the time in which they must be passed on.
+// A host that runs late reads a stream only so often that its events stay
+// within the time in which they must be passed on.
 #ifndef BRONZEHUB_ENTRY_READ_PACER_HPP
 #define BRONZEHUB_ENTRY_READ_PACER_HPP
 
--- /dev/null
+++ b/src/overload/domain_reach.cpp
@@ -0,0 +1,57 @@
+#include "overload/domain_reach.hpp"
+
+#include <algorithm>
+
+namespace bronzehub::overload {
+
+void domain_reach::on_unreachable(std::string_view domain,
+                                  std::string_view server) {
+    if (domain == own_domain_) {
+        return;
+    }
+    const base::time_point now = clock_.now();
+    state& known = domains_[std::string(domain)];
+    known.unreachable.insert_or_assign(std::string(server), now);
+    std::erase_if(known.unreachable, [now](const auto& entry) {
+        return now - entry.second > window;
+    });
+    if (!known.cut_off && known.unreachable.size() >= servers_to_conclude) {
+        known.cut_off = true;
+        known.next_probe = now + probe_interval;
+    }
+}
+
+bool domain_reach::on_reached(std::string_view domain) {
+    const auto found = domains_.find(domain);
+    if (found == domains_.end()) {
+        return false;
+    }
+    const bool was_cut_off = found->second.cut_off;
+    domains_.erase(found);
+    return was_cut_off;
+}
+
+bool domain_reach::is_cut_off(std::string_view domain) const {
+    const auto found = domains_.find(domain);
+    return found != domains_.end() && found->second.cut_off;
+}
+
+std::optional<std::string> domain_reach::due_probe() const {
+    const base::time_point now = clock_.now();
+    const auto due = std::ranges::find_if(domains_, [now](const auto& entry) {
+        return entry.second.cut_off && entry.second.next_probe <= now;
+    });
+    if (due == domains_.end()) {
+        return std::nullopt;
+    }
+    return due->first;
+}
+
+void domain_reach::on_sent(std::string_view domain) {
+    const auto found = domains_.find(domain);
+    if (found != domains_.end()) {
+        found->second.next_probe = clock_.now() + probe_interval;
+    }
+}
+
+}  // namespace bronzehub::overload
--- a/src/overload/host_load.cpp
+++ b/src/overload/host_load.cpp
@@ -5,8 +5,8 @@
 namespace bronzehub::overload {
 namespace {
 
-// Weight of a sample in the smoothed lateness: a single stall, for example while
-// a large configuration is read, must not turn callers away.
+// Weight of a sample in the smoothed lateness: a single stall, for example
+// while a large configuration is read, must not turn callers away.
 constexpr int smoothing_divisor = 2;
 // A longer stall is a machine that stood still, not one that is busy.
 constexpr std::chrono::milliseconds longest_sample{200};
@@ -43,8 +43,7 @@
     integral_ = std::clamp(
         integral_ + integral_gain_per_s * passed.count() * error, 0.0, 1.0);
     share_ = std::clamp(integral_ + proportional_gain * error, 0.0, 1.0);
-    const bool against =
-        ready_ ? share_ > unready_share : share_ < ready_share;
+    const bool against = ready_ ? share_ > unready_share : share_ < ready_share;
     if (!against) {
         against_since_.reset();
         return;
--- a/src/overload/host_load.hpp
+++ b/src/overload/host_load.hpp
@@ -29,8 +29,8 @@
     // proportional and an integral part, as active queue management does (RFC
     // 8033). An accepted request costs some ms on the weakest hosts, so that a
     // part of 0.1 is as much as a host can do at a thousand requests a second:
-    // with these gains the lateness settles within half a second there, and more
-    // slowly where requests are cheaper.
+    // with these gains the lateness settles within half a second there, and
+    // more slowly where requests are cheaper.
     static constexpr double proportional_gain = 0.1;
     static constexpr double integral_gain_per_s = 2.5;
     // The host is no longer ready when it refused nearly everything for
--- a/src/overload/host_load_test.cpp
+++ b/src/overload/host_load_test.cpp
@@ -128,8 +128,8 @@
 
 // Load pattern: less than a host can do. Guards against refusals without need.
 TEST_CASE("nothing is refused below the target lateness") {
-    const auto [lateness, share] =
-        GENERATE(table<int, double>({{0, 0.0}, {5, 0.0}, {10, 0.0}, {19, 0.0}}));
+    const auto [lateness, share] = GENERATE(
+        table<int, double>({{0, 0.0}, {5, 0.0}, {10, 0.0}, {19, 0.0}}));
     paused_clock time;
     host_load tested(time.view());
     run(time, tested, 10s, std::chrono::milliseconds(lateness));
