--- a/src/cli/explanation.cpp
+++ b/src/cli/explanation.cpp
@@ -6,6 +6,8 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <tuple>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
@@ -17,6 +19,7 @@
 
 struct log_line {
     std::string time;
+    std::size_t number = 0;
     std::string source;
     std::string message;
     json fields;
@@ -100,8 +103,8 @@
     if (!fields.is_object()) {
         return std::nullopt;
     }
-    return log_line{text_of(fields, "time"), source, text_of(fields, "message"),
-                    std::move(fields)};
+    return log_line{text_of(fields, "time"), 0, source,
+                    text_of(fields, "message"), std::move(fields)};
 }
 
 std::string describe(const log_line& line) {
@@ -112,7 +115,9 @@
                                    name == "level" || name == "request_id";
         const bool not_reached =
             value.is_number_integer() && value.get<std::int64_t>() < 0;
-        if (!shown_already && !not_reached && value != "") {
+        if (!shown_already && !not_reached &&
+            !(value.is_string() &&
+              value.get_ref<const std::string&>().empty())) {
             absl::StrAppend(
                 &result, "  ", name, "=",
                 value.is_string() ? value.get<std::string>() : value.dump());
@@ -146,6 +151,11 @@
 struct collected_lines {
     std::vector<log_line> lines;
     std::uint64_t omitted = 0;
+
+    void add(log_line line) {
+        line.number = lines.size();
+        lines.push_back(std::move(line));
+    }
 };
 
 void collect(std::string_view request_id, const log_source& source,
@@ -166,9 +176,9 @@
         }
         if (const auto found = latest.find(background_of(*line));
             found != latest.end()) {
-            result.lines.push_back(found->second);
+            result.add(found->second);
         }
-        result.lines.push_back(*std::move(line));
+        result.add(*std::move(line));
     }
 }
 
@@ -185,7 +195,10 @@
             "no line names request ", std::string(request_id), "; ",
             found.omitted, " lines of other calls were left out by rate"));
     }
-    std::ranges::stable_sort(found.lines, {}, &log_line::time);
+    // Lines of the same time stay in the order in which they were read.
+    std::ranges::sort(found.lines, {}, [](const log_line& line) {
+        return std::tie(line.time, line.number);
+    });
     std::string result;
     std::string conclusion =
         "The request has no end in these logs: its host stopped first, or the "
--- a/src/cli/explanation_test.cpp
+++ b/src/cli/explanation_test.cpp
@@ -3,7 +3,6 @@
 #include <catch2/catch.hpp>
 
 using bronzehub::cli::explain_request;
-using bronzehub::cli::log_source;
 using Catch::Contains;
 
 namespace {
--- a/src/entry/read_pacer.cpp
+++ b/src/entry/read_pacer.cpp
@@ -12,14 +12,14 @@
 
 void read_pacer::tick() {
     const base::time_point now = clock_.now();
-    const auto due = std::ranges::stable_partition(
-        held_, [now](const held_read& read) { return read.due > now; });
-    // A resumed read may hold back the next one.
-    std::vector<held_read> resumed(std::make_move_iterator(due.begin()),
-                                   std::make_move_iterator(due.end()));
-    held_.erase(due.begin(), due.end());
-    std::ranges::for_each(resumed,
-                          [](const held_read& read) { read.resume(); });
+    // A resumed read may hold back the next one, so the list is replaced first.
+    std::vector<held_read> due;
+    std::vector<held_read> later;
+    std::ranges::partition_copy(
+        held_, std::back_inserter(due), std::back_inserter(later),
+        [now](const held_read& read) { return read.due <= now; });
+    held_ = std::move(later);
+    std::ranges::for_each(due, [](const held_read& read) { read.resume(); });
 }
 
 }  // namespace bronzehub::entry
