--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -56,8 +56,7 @@
         return;
     }
     if (!caller_->take_admission() && !environment_.load.accept()) {
-        // The caller's next connection may reach a host with time, while the
-        // connections that stay spread the load over the hosts that keep them.
+        // The caller's next connection may reach a host with time.
         caller_->close_after_response();
         refuse(host_overloaded, overloaded_retry);
         return;
--- a/src/entry/http_listener.hpp
+++ b/src/entry/http_listener.hpp
@@ -37,6 +37,7 @@
 private:
     void accept();
     bool accept_waiting();
+    // Makes a connection of an accepted socket, of which `received` was read.
     void open(int handle, std::string_view received, bool admitted);
     bool refuse(int handle);
 
--- a/src/overload/domain_reach.hpp
+++ b/src/overload/domain_reach.hpp
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "base/clock.hpp"
 
--- a/src/overload/host_load.hpp
+++ b/src/overload/host_load.hpp
@@ -4,8 +4,9 @@
 // whose processor is then used up while its neighbours are idle. Requests that
 // the host reads late are abandoned by their callers, and work on them is in
 // vain. The host measures how late its own timer runs. While it is late, it
-// refuses new requests at once, which is cheap and lets their callers try
-// another host, and it stops calling itself ready.
+// refuses part of the requests at once, which is cheap and lets their callers
+// try another host, passes events of streams on in batches, and in the end
+// stops calling itself ready.
 #ifndef BRONZEHUB_OVERLOAD_HOST_LOAD_HPP
 #define BRONZEHUB_OVERLOAD_HOST_LOAD_HPP
 
@@ -33,11 +34,11 @@
     // more slowly where requests are cheaper.
     static constexpr double proportional_gain = 0.1;
     static constexpr double integral_gain_per_s = 2.5;
-    // The host is no longer ready when it refused nearly everything for
-    // `unready_after`, and ready again when it refused next to nothing for
-    // `ready_after`. Below that, refused callers are served by the host that
-    // their retry reaches, while a host that stops being ready moves all of its
-    // callers to one other host.
+    // The host is no longer ready when it refused more than `unready_share` for
+    // `unready_after`: its callers go to another host of the failure domain
+    // while it works off what it accepted. It is ready again when it refused
+    // less than `ready_share` for `ready_after`. A crowd of callers is thereby
+    // served by several hosts in turn.
     static constexpr double unready_share = 0.4;
     static constexpr double ready_share = 0.05;
     static constexpr std::chrono::milliseconds unready_after{500};
--- a/tests/entry_path/entry_path_test.py
+++ b/tests/entry_path/entry_path_test.py
@@ -404,6 +404,61 @@
         self.assertTrue(lines[-1]["server"].startswith("p-"))
         self.assertNotIn("key-1", json.dumps(lines))
 
+    # Guards against a host without processor time whose refusals are not true,
+    # cannot be read or bring its callers back to it at once.
+    async def test_a_host_that_runs_late_refuses_without_running(self):
+        answers = []
+
+        async def one(number):
+            request_id = f"late-{number}"
+            reader, writer = await send(
+                self.daemon.callers, "/pay/x", method="POST", request_id=request_id
+            )
+            line, headers, body = await asyncio.wait_for(read_message(reader), 10)
+            writer.close()
+            answers.append((request_id, int(line.split(" ")[1]), headers, body))
+
+        tasks = []
+        for _ in range(15):
+            os.kill(self.daemon.process.pid, signal.SIGSTOP)
+            tasks += [
+                asyncio.create_task(one(len(tasks) + extra)) for extra in range(10)
+            ]
+            await asyncio.sleep(0.15)
+            os.kill(self.daemon.process.pid, signal.SIGCONT)
+            await asyncio.sleep(0.02)
+        await asyncio.gather(*tasks)
+        refused = [answer for answer in answers if answer[1] != 200]
+        self.assertTrue(refused)
+        ran = {run[0] for run in self.runs(self.plain)}
+        for request_id, status, headers, body in refused:
+            self.assertEqual(status, 503)
+            self.assertIn(b"host overloaded", body)
+            self.assertEqual(headers[REQUEST_ID.lower()], request_id)
+            self.assertLess(float(headers["retry-after"]), 1)
+            self.assertEqual(headers["connection"], "close")
+            self.assertNotIn(request_id, ran)
+        served = {answer[0] for answer in answers if answer[1] == 200}
+        self.assertEqual(served, ran)
+
+    # Guards against a request that arrives in parts while its host refuses: it
+    # must not be answered before it is whole, nor be left without an answer.
+    async def test_a_late_host_reads_a_request_in_parts(self):
+        for _ in range(8):
+            os.kill(self.daemon.process.pid, signal.SIGSTOP)
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", self.daemon.callers
+            )
+            writer.write(b"GET /read/x HTTP/1.1\r\nHost: h.exam")
+            await asyncio.sleep(0.15)
+            os.kill(self.daemon.process.pid, signal.SIGCONT)
+            await asyncio.sleep(0.02)
+            writer.write(b"ple\r\nApi-Key: key-1\r\nBronzehub-Attempt-Id: r-1\r\n\r\n")
+            line, _, body = await asyncio.wait_for(read_message(reader), 10)
+            writer.close()
+            self.assertIn(int(line.split(" ")[1]), (200, 503))
+            self.assertIn(body, (b"whole", b'{"error":"host overloaded"}'))
+
     # Guards against a request that is hidden inside another one.
     async def test_ambiguous_requests_are_refused(self):
         reader, writer = await asyncio.open_connection(
