--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -493,6 +493,7 @@
          field("failed", reporter_.count(call_outcome::failed)),
          field("abandoned", reporter_.count(call_outcome::abandoned)),
          field("connections", callers_.connections()),
+         field("connections_unwatched", callers_.unwatched()),
          field("hosts", hosts_.announced()),
          field("reader_rank", hosts_.reader_rank()),
          field("store_configuration_calls", store.configuration_calls),
--- a/src/entry/http_listener.cpp
+++ b/src/entry/http_listener.cpp
@@ -97,8 +97,7 @@
 }
 
 // Takes all connections that wait, up to a number that lets other events in
-// between. One for each turn of the loop would be too few: under a crowd of
-// callers, a turn serves a hundred other events.
+// between.
 bool http_listener::accept_waiting() {
     for (std::size_t i = 0; i < accepts_per_turn; ++i) {
         const int handle = accept4(acceptor_.native_handle(), nullptr, nullptr,
@@ -123,6 +122,8 @@
     asio::error_code error;
     std::ignore = socket.assign(protocol_, handle, error);
     if (error) {
+        // The loop can't watch one more socket; the caller tries elsewhere.
+        ++unwatched_;
         close(handle);
         return;
     }
--- a/src/entry/http_listener.hpp
+++ b/src/entry/http_listener.hpp
@@ -3,6 +3,7 @@
 #define BRONZEHUB_ENTRY_HTTP_LISTENER_HPP
 
 #include <asio/ip/tcp.hpp>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <unordered_set>
@@ -31,6 +32,8 @@
     void close_idle();
 
     std::size_t connections() const { return connections_.size(); }
+    // Accepted sockets that could not be watched and were closed unread.
+    std::uint64_t unwatched() const { return unwatched_; }
     // Connections whose request has no response yet.
     std::size_t active() const;
 
@@ -48,6 +51,7 @@
     message_parser refused_parser_;
     std::shared_ptr<const caller_hooks> hooks_;
     std::unordered_set<std::shared_ptr<caller_connection>> connections_;
+    std::uint64_t unwatched_ = 0;
 };
 
 }  // namespace bronzehub::entry
