Make the test of a request in parts fail when its head is answered early

The test accepted a refusal in place of an answer, so it passed with a listener that refuses incomplete heads. It now reads before the rest is sent, and demands that the host refused at all.

--- a/tests/entry_path/entry_path_test.py
+++ b/tests/entry_path/entry_path_test.py
@@ -444,20 +444,37 @@
     # Guards against a request that arrives in parts while its host refuses: it
     # must not be answered before it is whole, nor be left without an answer.
     async def test_a_late_host_reads_a_request_in_parts(self):
-        for _ in range(8):
+        rest = b"ple\r\nApi-Key: key-1\r\nBronzehub-Attempt-Id: r-1\r\n\r\n"
+        statuses = []
+        for _ in range(12):
             os.kill(self.daemon.process.pid, signal.SIGSTOP)
-            reader, writer = await asyncio.open_connection(
-                "127.0.0.1", self.daemon.callers
-            )
-            writer.write(b"GET /read/x HTTP/1.1\r\nHost: h.exam")
+            opened = []
+            for _ in range(10):
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", self.daemon.callers
+                )
+                writer.write(b"GET /read/x HTTP/1.1\r\nHost: h.exam")
+                opened.append((reader, writer))
             await asyncio.sleep(0.15)
             os.kill(self.daemon.process.pid, signal.SIGCONT)
-            await asyncio.sleep(0.02)
-            writer.write(b"ple\r\nApi-Key: key-1\r\nBronzehub-Attempt-Id: r-1\r\n\r\n")
-            line, _, body = await asyncio.wait_for(read_message(reader), 10)
-            writer.close()
-            self.assertIn(int(line.split(" ")[1]), (200, 503))
-            self.assertIn(body, (b"whole", b'{"error":"host overloaded"}'))
+            early = await asyncio.gather(
+                *(
+                    asyncio.wait_for(reader.read(1), 0.01)
+                    for reader, writer in opened
+                ),
+                return_exceptions=True,
+            )
+            self.assertEqual({type(each) for each in early}, {asyncio.TimeoutError})
+            for _, writer in opened:
+                writer.write(rest)
+            for reader, writer in opened:
+                line, _, body = await asyncio.wait_for(read_message(reader), 10)
+                writer.close()
+                statuses.append(int(line.split(" ")[1]))
+                self.assertIn(body, (b"whole", b'{"error":"host overloaded"}'))
+        # Without refusals, the test has shown nothing.
+        self.assertIn(503, statuses)
+        self.assertLessEqual(set(statuses), {200, 503})
 
     # Guards against a request that is hidden inside another one.
     async def test_ambiguous_requests_are_refused(self):
