Log and count how the resumption of a stream ended

An attempt that is answered with an error now has a line with its status, a resumed call is always reported among the calls that need explaining, and a counter tells how resumptions end. The status of a call is what its caller got. No decision changes.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -158,6 +158,7 @@
         std::max(duration_cast<milliseconds>(time_left()), milliseconds(1));
     if (response_started_) {
         added.resume_after = relay_.last_id();
+        ++report_.resumptions;
     }
     outgoing_request outgoing;
     outgoing.method = request_.method;
@@ -174,6 +175,7 @@
     started.failure_domain = server.failure_domain;
     started.health_epoch = status.health.epoch();
     started.sent_at = environment_.loop.now();
+    started.resumes = response_started_;
     started.connection = environment_.pool.acquire(
         start_name(server), server.address, route_->repeatable());
     const auto connection = started.connection;
@@ -375,9 +377,19 @@
         action = overload::without_repeat(facts);
     }
     report_.why = overload::to_string(end);
-    if (end != attempt_end::answered) {
-        environment_.reporter.on_step(
-            report_, absl::StrCat("attempt ", report_.why), reason);
+    const bool as_wanted = end == attempt_end::answered &&
+                           attempt_->status < first_server_error &&
+                           (!attempt_->resumes || attempt_->is_stream);
+    if (!as_wanted) {
+        environment_.reporter.on_step(report_,
+                                      absl::StrCat("attempt ", report_.why),
+                                      reason, attempt_->status);
+    }
+    if (attempt_->resumes) {
+        environment_.reporter.on_resumption(
+            report_, as_wanted || end != attempt_end::answered
+                         ? report_.why
+                         : "other answer");
     }
     carry_out(action, facts);
 }
@@ -408,10 +420,10 @@
 }
 
 void call::deliver() {
-    report_.status = attempt_->status;
     if (response_started_) {
         caller_->finish();
     } else {
+        report_.status = attempt_->status;
         report_.first_byte_after_ms =
             duration_cast<milliseconds>(environment_.loop.now() -
                                         request_.arrived_at)
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -82,6 +82,8 @@
         fleet_state::response_description facts;
         std::string body;
         bool is_stream = false;
+        // Goes on with a stream that another server began.
+        bool resumes = false;
         bool overflowed = false;
     };
 
--- a/src/entry/call_report.cpp
+++ b/src/entry/call_report.cpp
@@ -63,7 +63,8 @@
                            ms_per_second);
     }
     const bool good = report.outcome == call_outcome::delivered;
-    if (!take(good ? delivered_ : other_)) {
+    // A resumed stream is rare, and a wrong one must be found by its id.
+    if (!take(good && report.resumptions == 0 ? delivered_ : other_)) {
         return;
     }
     log_.write(
@@ -75,6 +76,7 @@
          field("organisation", report.organisation),
          field("service", report.service), field("server", report.server),
          field("owner", report.owner), field("attempts", report.attempts),
+         field("resumptions", report.resumptions),
          field("events", report.events),
          field("configuration", report.configuration_version),
          field("configuration_age_ms", report.configuration_age_ms),
@@ -85,14 +87,24 @@
 }
 
 void call_reporter::on_step(const call_report& so_far, std::string_view step,
-                            std::string_view why) {
+                            std::string_view why, int status) {
     if (!take(other_)) {
         return;
     }
-    log_.info(step, {field("request_id", so_far.request_id),
-                     field("cause", why), field("server", so_far.server),
-                     field("attempts", so_far.attempts),
-                     field("events", so_far.events)});
+    log_.info(
+        step,
+        {field("request_id", so_far.request_id), field("cause", why),
+         field("status", status), field("server", so_far.server),
+         field("attempts", so_far.attempts), field("events", so_far.events)});
+}
+
+void call_reporter::on_resumption(const call_report& so_far,
+                                  std::string_view end) {
+    figures_
+        .add_counter("bronzehub_entry_resumptions_total",
+                     "Attempts to go on with a stream, by service and end.",
+                     {{"service", so_far.service}, {"end", std::string(end)}})
+        .increment();
 }
 
 void call_reporter::on_domain(std::string_view domain, bool cut_off,
--- a/src/entry/call_report.hpp
+++ b/src/entry/call_report.hpp
@@ -43,6 +43,8 @@
     std::string why;
     int status = 0;
     std::uint32_t attempts = 0;
+    // Attempts to go on with a stream at another server.
+    std::uint32_t resumptions = 0;
     std::uint64_t events = 0;
     std::uint64_t configuration_version = 0;
     // Negative: not reached.
@@ -71,8 +73,11 @@
 
     void on_call(const call_report& report);
     // A step of a call that is worth a line: a repeat, a resumed stream.
+    // `status`: that of the server's answer, 0 when there is none.
     void on_step(const call_report& so_far, std::string_view step,
-                 std::string_view why);
+                 std::string_view why, int status);
+    // An attempt to go on with a stream has ended.
+    void on_resumption(const call_report& so_far, std::string_view end);
     // A failure domain is cut off from this host, or reached again, as the end
     // of this call's attempt showed.
     void on_domain(std::string_view domain, bool cut_off,
--- a/tests/entry_path/entry_path_test.py
+++ b/tests/entry_path/entry_path_test.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -391,6 +392,32 @@
     async def has_ended(self):
         return self.daemon.process.poll() is not None
 
+    # Guards against a resumed stream whose course nobody can tell afterwards.
+    async def test_each_answer_to_a_resumption_is_logged_and_counted(self):
+        for act, status, message, end in [
+            ("stream", 200, None, "answered"),
+            ("error", 500, "attempt answered", "other answer"),
+            ("drop", 0, "attempt broken", "broken"),
+        ]:
+            with self.subTest(act=act):
+                for replica in self.model:
+                    replica.act, replica.acts_on_resume = "stream_cut", [act]
+                # What the caller sees of it is checked by other tests.
+                with contextlib.suppress(asyncio.IncompleteReadError):
+                    await self.ask("/plan/", method="POST", request_id=act)
+                await asyncio.sleep(0.2)
+                lines = [
+                    line for line in self.daemon.lines() if line.get("request_id") == act
+                ]
+                steps = [(line["message"], line["status"]) for line in lines[:-1]]
+                expected = [("attempt broken", 200)]
+                expected += [(message, status)] if message else []
+                self.assertEqual(steps, expected)
+                self.assertEqual(lines[-1]["resumptions"], 1)
+                _, _, metrics = await ask(self.daemon.operators, "/metrics")
+                counted = f'resumptions_total{{service="model",end="{end}"}} 1'
+                self.assertIn(counted, metrics.decode())
+
     # Guards against refused and failed requests that nobody can explain.
     async def test_a_failed_request_is_found_by_its_id(self):
         self.set_all(self.plain, "drop")
--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -174,6 +174,10 @@
         self.abandoned = []
         # What to do with a request: a name of a method `act_...`.
         self.act = "answer"
+        # The same, one after the other, for requests that go on with a stream.
+        # Servers may share the list.
+        self.acts_on_resume = []
+        self.error_status = 500
         self.events = 3
         self.pause = 0.01
 
@@ -210,7 +214,10 @@
                 )
             else:
                 self.runs.append((request_id, headers, body, line))
-                action = getattr(self, "act_" + self.act)
+                act = self.act
+                if "last-event-id" in headers and self.acts_on_resume:
+                    act = self.acts_on_resume.pop(0)
+                action = getattr(self, "act_" + act)
                 if not await action(reader, writer, request_id, headers):
                     return
             await writer.drain()
@@ -229,9 +236,8 @@
         return True
 
     async def act_error(self, _reader, writer, request_id, _headers):
-        writer.write(
-            response(500, {REQUEST_ID: request_id, SIGNATURE: self.name}, b"error")
-        )
+        headers = {REQUEST_ID: request_id, SIGNATURE: self.name}
+        writer.write(response(self.error_status, headers, b"error"))
         return True
 
     async def act_drop(self, _reader, _writer, _request_id, _headers):
