Complete a begun stream only by a stream that reached its end

Cause: an attempt was judged by itself. When a server broke off a stream and the server that was to go on with it answered with a whole, signed error, the attempt counted as answered. A whole answer was delivered, and since the response had begun, delivering it meant writing the last chunk.

Ruled out: the end of the crashed server's connection read as a proper end (the record has a second attempt 38 ms after it), and events dropped where two runs meet (the second run ended with 500 within 1 ms and made none).

The end of an attempt now tells a stream's proper end from any other whole answer, and only the former completes a response that has begun. Any other answer leads to the next server where attempts and the retry budget allow it, else the response breaks off without its end.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -298,8 +298,9 @@
     }
     if (now.is_stream) {
         // A stream may properly end without an event.
-        return relay_.has_partial() || relay_.failed() ? attempt_end::broken
-                                                       : attempt_end::answered;
+        return relay_.has_partial() || relay_.failed()
+                   ? attempt_end::broken
+                   : attempt_end::stream_ended;
     }
     // A response without a signature was not made by the backend server.
     return now.facts.has_signature && !now.overflowed ? attempt_end::answered
@@ -312,8 +313,9 @@
         attempt_->status == misdirected) {
         environment_.servers.disown(attempt_->server);
     }
-    const bool good = end == overload::attempt_end::answered &&
-                      attempt_->status < first_server_error;
+    const bool good = end == overload::attempt_end::stream_ended ||
+                      (end == overload::attempt_end::answered &&
+                       attempt_->status < first_server_error);
     note_reach(how);
     end_attempt(good, how == exchange_end::complete);
     after_attempt(end, reason);
@@ -377,19 +379,17 @@
         action = overload::without_repeat(facts);
     }
     report_.why = overload::to_string(end);
-    const bool as_wanted = end == attempt_end::answered &&
-                           attempt_->status < first_server_error &&
-                           (!attempt_->resumes || attempt_->is_stream);
+    const bool as_wanted =
+        end == attempt_end::stream_ended ||
+        (end == attempt_end::answered &&
+         attempt_->status < first_server_error && !response_started_);
     if (!as_wanted) {
         environment_.reporter.on_step(report_,
                                       absl::StrCat("attempt ", report_.why),
                                       reason, attempt_->status);
     }
     if (attempt_->resumes) {
-        environment_.reporter.on_resumption(
-            report_, as_wanted || end != attempt_end::answered
-                         ? report_.why
-                         : "other answer");
+        environment_.reporter.on_resumption(report_, report_.why);
     }
     carry_out(action, facts);
 }
--- a/src/overload/attempt_policy.cpp
+++ b/src/overload/attempt_policy.cpp
@@ -10,17 +10,20 @@
 }  // namespace
 
 attempt_action without_repeat(const attempt_facts& facts) {
-    if (facts.end == attempt_end::answered) {
+    if (facts.end == attempt_end::stream_ended) {
         return attempt_action::deliver;
     }
+    // Whatever else ended the attempt, the caller's stream lacks its end.
     if (facts.response_started) {
         return attempt_action::abort_response;
     }
     switch (facts.end) {
+        case attempt_end::answered:
+        case attempt_end::stream_ended:
+            return attempt_action::deliver;
         case attempt_end::not_sent:
         case attempt_end::rejected:
             return attempt_action::refuse;
-        case attempt_end::answered:
         case attempt_end::broken:
             break;
     }
@@ -44,13 +47,17 @@
                 return attempt_action::send_again;
             }
             break;
-        case attempt_end::answered:
-            if (facts.repeatable && !facts.response_started &&
-                facts.status >= first_server_error &&
-                facts.status != gateway_timeout) {
+        case attempt_end::answered: {
+            const bool other_may_help =
+                facts.response_started
+                    ? facts.resumable
+                    : facts.repeatable && facts.status >= first_server_error;
+            if (other_may_help && facts.status != gateway_timeout) {
                 return attempt_action::send_again;
             }
             break;
+        }
+        case attempt_end::stream_ended:
         case attempt_end::not_sent:
             break;
     }
@@ -61,6 +68,8 @@
     switch (end) {
         case attempt_end::answered:
             return "answered";
+        case attempt_end::stream_ended:
+            return "stream ended";
         case attempt_end::not_sent:
             return "not sent";
         case attempt_end::rejected:
--- a/src/overload/attempt_policy.hpp
+++ b/src/overload/attempt_policy.hpp
@@ -11,8 +11,10 @@
 namespace bronzehub::overload {
 
 enum class attempt_end : std::uint8_t {
-    // A whole response with the backend server's signature.
+    // A whole response with the backend server's signature that is no stream.
     answered,
+    // A stream of events reached its proper end.
+    stream_ended,
     // No byte of the request left this host.
     not_sent,
     // The backend server states that it did not run the request.
--- a/tests/entry_path/entry_path_test.py
+++ b/tests/entry_path/entry_path_test.py
@@ -435,8 +435,8 @@
     # Guards against a resumed stream whose course nobody can tell afterwards.
     async def test_each_answer_to_a_resumption_is_logged_and_counted(self):
         for act, status, message, end in [
-            ("stream", 200, None, "answered"),
-            ("error", 500, "attempt answered", "other answer"),
+            ("stream", 200, None, "stream ended"),
+            ("error", 500, "attempt answered", "answered"),
             ("drop", 0, "attempt broken", "broken"),
         ]:
             with self.subTest(act=act):
