Abort a stream whose event exceeds the limit

Cause: the relay stops passing events on behind one that is larger than 1 MiB, but goes on counting them. The final event behind it still marked the stream as done, so the call ended as completed. Ruled out: a completed response without the final event, which was aborted. Before: `calls_test "a stream with an event over the limit is aborted"` fails: the caller gets the last chunk and a stream that lacks the large event and all behind it, or, when it was the first event, status 200 with an empty body. After: the same test passes; the stream is aborted, or refused with 502 when nothing was passed on. Conclusion: only a final event that was passed on makes a stream whole.

--- a/src/calls/call_manager_test.cpp
+++ b/src/calls/call_manager_test.cpp
@@ -334,6 +334,28 @@
     CHECK_FALSE(writer->looks_whole());
 }
 
+// Guards against a stream that lacks a large event and looks whole, because its
+// final event came behind it.
+TEST_CASE("a stream with an event over the limit is aborted") {
+    const auto first = GENERATE(as<std::string>(), "", "data: {}\n\n");
+    bench fleet;
+    fleet.retry_budget_ = 0;
+    fleet.fates_ = {attempt_fate::hangs};
+    const auto writer = fleet.admit(make_call(call_class::stream));
+    const std::string large(event_splitter::max_event_bytes + 1, 'x');
+
+    fleet.running_.on_headers(200, {{"Content-Type", "text/event-stream"}});
+    for (const std::string& part :
+         {first, "data: " + large, std::string("\n\ndata: [DONE]\n\n")}) {
+        fleet.running_.on_body(part);
+    }
+    fleet.running_.on_end({.kind = outcome::completed});
+
+    CHECK_FALSE((writer->looks_whole() && writer->status == 200));
+    CHECK(writer->aborted == !first.empty());
+    CHECK(writer->body.find("[DONE]") == std::string::npos);
+}
+
 // Guards against retries without limit when every replica fails.
 TEST_CASE("attempts end at the limit and at the retry budget") {
     const auto [budget, attempts] =
--- a/src/calls/response_relay.cpp
+++ b/src/calls/response_relay.cpp
@@ -126,7 +126,8 @@
     attempt_result ended = std::move(result_);
     ended.kind = result.kind;
     ended.error = result.error;
-    ended.done = splitter_.done();
+    // Nothing was passed on behind an event over the limit.
+    ended.done = splitter_.done() && !overflowed_;
     ended.events = delivered_.load();
     ended.last_event = std::string(splitter_.last_event());
     ended.total = clock_.now() - sent_at_;
