Do not continue a large response by the events of another attempt

Cause: a call that asks for a stream may be answered with something else, for example an error document. Beyond the limit for collecting, its bytes are passed through. The call manager then took the response for a stream of events: it found no final event, whether the response was whole or not, and had another server continue it. Ruled out: an error response to the second attempt, which is collected and does not reach the caller. Before: `calls_test "a large response to a streamed call is not continued by events"` fails: two requests are sent, and the caller gets the document of the first server, the events of the second one and the last chunk. After: the same test passes. A whole document is delivered as it is, and one that breaks off closes the connection without the last chunk. Conclusion: an attempt continues a response only where that is a stream of events.

--- a/src/calls/call_manager.cpp
+++ b/src/calls/call_manager.cpp
@@ -72,6 +72,7 @@
     bool claimed = false;
     bool may_have_run = false;  // An attempt was handed over and not undone.
     bool started = false;       // The caller has the head of the response.
+    bool passed_bytes = false;  // What the caller has are not events.
     std::uint32_t attempt = 0;
     std::uint64_t delivered_events = 0;
     base::time_point admitted_at;
@@ -254,6 +255,9 @@
         ++counters_.late_results;
         return;
     }
+    target->passed_bytes =
+        target->passed_bytes ||
+        (result.started && !target->started && !result.streamed);
     target->started = result.started;
     target->delivered_events = result.events;
     if (result.kind == backend_client::outcome::not_sent) {
@@ -263,8 +267,8 @@
     // Only its final event makes an event stream whole. An error response to a
     // resumed attempt does not complete a stream that the caller has begun to
     // read.
-    const bool needs_done =
-        target->request.streamed && (result.streamed || result.started);
+    const bool needs_done = target->request.streamed && !target->passed_bytes &&
+                            (result.streamed || result.started);
     const bool whole =
         result.kind == backend_client::outcome::completed && !needs_done;
     if (whole || result.done) {
@@ -341,10 +345,14 @@
                          std::nullopt});
 }
 
+bool call_manager::continues_by_events(const call& target) {
+    return target.request.streamed && !target.passed_bytes;
+}
+
 bool call_manager::try_again(call& target, const attempt_result& result) {
     // A response that was passed through cannot be taken back. An event stream
     // continues behind its last whole event.
-    const bool continues = !result.started || target.request.streamed;
+    const bool continues = !result.started || continues_by_events(target);
     const bool in_time =
         clock_.now() < target.admitted_at + target.request.deadline ||
         result.started;
@@ -421,7 +429,7 @@
             respond_refusal(*target.writer, why, target.request_id);
         } else {
             ++counters_.aborted_streams;
-            target.request.streamed
+            continues_by_events(target)
                 ? abort_stream(*target.writer, why, target.request_id)
                 : target.writer->abort();
         }
--- a/src/calls/call_manager.hpp
+++ b/src/calls/call_manager.hpp
@@ -177,6 +177,8 @@
     void on_not_sent(call& target);
     void on_completed(call& target, const attempt_result& result);
     void on_broken(call& target, const attempt_result& result);
+    // The response in progress is a stream of events.
+    static bool continues_by_events(const call& target);
     bool try_again(call& target, const attempt_result& result);
     void release_slot(call& target, const attempt_result& result,
                       bool completed);
--- a/src/calls/call_manager_test.cpp
+++ b/src/calls/call_manager_test.cpp
@@ -356,6 +356,26 @@
     CHECK(writer->body.find("[DONE]") == std::string::npos);
 }
 
+// Guards against events of a second attempt that are joined to a response
+// which was no stream of events.
+TEST_CASE("a large response to a streamed call is not continued by events") {
+    const auto end = GENERATE(outcome::completed, outcome::broken);
+    bench fleet;
+    fleet.fates_ = {attempt_fate::hangs, attempt_fate::answers};
+    const auto writer = fleet.admit(make_call(call_class::stream));
+    const std::string large(manager_options().relay.collect_bytes + 1, 'x');
+
+    fleet.running_.on_headers(400, {{"Content-Type", "application/json"}});
+    fleet.running_.on_body(large);
+    fleet.running_.on_end({.kind = end});
+    fleet.run();
+
+    CHECK(fleet.sent_.size() == 1);
+    CHECK((writer->body == large));
+    CHECK(writer->looks_whole() == (end == outcome::completed));
+    CHECK(writer->aborted == (end == outcome::broken));
+}
+
 // Guards against retries without limit when every replica fails.
 TEST_CASE("attempts end at the limit and at the retry budget") {
     const auto [budget, attempts] =
