Count events by their data field

Cause: only events that begin with `data: ` were counted. Events with another field before their data, or without the space, were passed on but left out of `Resume-From`, so a server that counts them would repeat them. A final event written that way was not recognised either. Found by reading. Ruled out: comments and events without data are still not counted (same test). Before: `calls_test "an event counts by its data, whatever stands before it"` fails for three forms of events; the form of the final event was added with the change. After: the same test passes. Conclusion: the count that resumption uses follows the data fields. Lines that end with carriage returns are still not split into events.

--- a/src/calls/event_splitter.cpp
+++ b/src/calls/event_splitter.cpp
@@ -1,11 +1,14 @@
 #include "calls/event_splitter.hpp"
 
+#include <optional>
+#include <utility>
+
 namespace bronzehub::calls {
 namespace {
 
 constexpr std::string_view separator = "\n\n";
-constexpr std::string_view data_prefix = "data: ";
-constexpr std::string_view done_event = "data: [DONE]";
+constexpr std::string_view data_field = "data:";
+constexpr std::string_view done_data = "[DONE]";
 
 }  // namespace
 
@@ -33,11 +36,25 @@
 }
 
 void event_splitter::count_event(std::string_view event) {
-    if (event == done_event) {
+    std::optional<std::string> data;
+    while (!event.empty()) {
+        const std::size_t size = event.find('\n');
+        std::string_view line = event.substr(0, size);
+        event.remove_prefix(size == event.npos ? event.size() : size + 1);
+        if (!line.starts_with(data_field)) {
+            continue;
+        }
+        line.remove_prefix(data_field.size());
+        line.remove_prefix(line.starts_with(' ') ? 1 : 0);
+        // The lines of one event's data are joined.
+        data = data ? *std::move(data) + '\n' : std::string();
+        data->append(line);
+    }
+    if (data == done_data) {
         done_ = true;
-    } else if (event.starts_with(data_prefix)) {
+    } else if (data) {
         ++events_;
-        last_event_ = event.substr(data_prefix.size());
+        last_event_ = *std::move(data);
     }
 }
 
--- a/src/calls/event_splitter_test.cpp
+++ b/src/calls/event_splitter_test.cpp
@@ -23,6 +23,25 @@
     }
 }
 
+// Guards against a resumed stream that repeats events that were not counted.
+TEST_CASE("an event counts by its data, whatever stands before it") {
+    const auto [event, count] = GENERATE(table<std::string, std::uint64_t>({
+        {"data: 1\n\n", 1},
+        {"data:1\n\n", 1},
+        {"event: delta\ndata: 1\n\n", 1},
+        {"id: 7\nevent: delta\ndata: 1\ndata: 2\n\n", 1},
+        {": comment\n\n", 0},
+        {"event: ping\n\n", 0},
+        {"data: [DONE]\n\n", 0},
+        {"event: end\ndata:[DONE]\n\n", 0},
+    }));
+    CAPTURE(event);
+    event_splitter splitter;
+    CHECK(splitter.feed(event) == event);
+    CHECK(splitter.events() == count);
+    CHECK(splitter.done() == event.ends_with("[DONE]\n\n"));
+}
+
 // Guards against unbounded memory when a backend server never ends an event.
 TEST_CASE("an event over the limit is reported") {
     event_splitter splitter;
