Trust only a chunked response to mark its own end

Cause: a response with any Transfer-Encoding field counted as one whose end is verified. With `identity`, the closing of the connection marks the end, so a response that was cut off looked whole. Found by reading. Ruled out: a cut response with a length or in chunks is broken already (`a call that was cut after it was sent is broken`). Before: `backend_client_test "a response that only the close delimits is marked"` fails for `identity`: end_verified is true. After: the same test passes. Conclusion: a response counts as whole only by its length, its last chunk or its kind (HEAD, 204, 304). Codings other than `identity` and `chunked` were not tried.

--- a/src/backend_client/client_test.cpp
+++ b/src/backend_client/client_test.cpp
@@ -257,14 +257,18 @@
     CHECK(record.result().kind == outcome::broken);
 }
 
+// Guards against a response that was cut off and looks whole.
 TEST_CASE("a response that only the close delimits is marked") {
+    const std::string framing =
+        GENERATE(as<std::string>(), "", "Transfer-Encoding: identity\r\n");
+    CAPTURE(framing);
     const raw_listener backend;
     const auto sender = start_client();
     recorded_call record;
     sender->send({.address = address_of(backend.port())}, record.events());
     raw_socket peer = backend.accept();
     peer.read_until("\r\n\r\n");
-    peer.send("HTTP/1.1 200 OK\r\n\r\npart");
+    peer.send("HTTP/1.1 200 OK\r\n" + framing + "\r\npart");
     peer.close();
     const call_result result = record.result();
     CHECK(result.kind == outcome::completed);
--- a/src/backend_client/transfer.cpp
+++ b/src/backend_client/transfer.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 
 namespace bronzehub::backend_client {
@@ -52,6 +53,15 @@
     return status;
 }
 
+// With any other last coding, the closing of the connection marks the end.
+bool is_chunked(const base::http_headers& headers) {
+    return std::ranges::any_of(headers, [](const base::http_header& field) {
+        return base::equal_header_names(field.name, "Transfer-Encoding") &&
+               absl::EndsWithIgnoreCase(
+                   {field.value.data(), field.value.size()}, "chunked");
+    });
+}
+
 // True when curl gave up before it had a connection to write to.
 bool is_connect_failure(CURLcode code) {
     return code == CURLE_COULDNT_CONNECT || code == CURLE_OPERATION_TIMEDOUT ||
@@ -257,8 +267,7 @@
     }
     curl_off_t length = -1;
     curl_easy_getinfo(easy_.get(), CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
-    return length >= 0 ||
-           base::find_header(response_headers_, "Transfer-Encoding");
+    return length >= 0 || is_chunked(response_headers_);
 }
 
 call_result transfer::judge(CURLcode code, std::string_view error) const {
