Do not record encoded responses for idempotency keys

Cause: a record holds status, Content-Type and body. The body of a response with Content-Encoding was replayed without that field, so a later caller got encoded bytes as if they were the content. Found by reading. Ruled out: responses that were passed through, which are not recorded. Before: `calls_test "an encoded response is delivered and not recorded"` fails: the claim ends as complete; `calls_test "encodings are accepted only for calls without a key"` fails: Accept-Encoding is passed on. After: both tests pass. Conclusion: a replay is the content that the first caller got. A later call whose first response was encoded all the same gets `claim_outcome_unknown`.

--- a/src/calls/call_manager.cpp
+++ b/src/calls/call_manager.cpp
@@ -47,6 +47,13 @@
     return result;
 }
 
+// A response that was passed through is not there to be recorded, and a record
+// does not say how its body is encoded.
+bool is_recordable(const attempt_result& result) {
+    return !result.started &&
+           !base::find_header(result.headers, "Content-Encoding");
+}
+
 }  // namespace
 
 std::string_view to_string(call_step step) {
@@ -308,8 +315,7 @@
         return;
     }
     release_slot(target, result, !failed);
-    if (target.claimed && result.started) {
-        // The response was passed through and is not there to be recorded.
+    if (target.claimed && !is_recordable(result)) {
         claims_.mark_unknown(target.id);
     } else if (target.claimed) {
         claims_.complete(target.id,
--- a/src/calls/call_manager_test.cpp
+++ b/src/calls/call_manager_test.cpp
@@ -443,6 +443,26 @@
     CHECK(writer->status == 0);
 }
 
+// Guards against a replay without the field that says how its body is encoded.
+TEST_CASE("an encoded response is delivered and not recorded") {
+    const auto [fields, claim] =
+        GENERATE(table<base::http_headers, std::string>({
+            {{{"Content-Encoding", "gzip"}}, "unknown"},
+            {{{"Content-Type", "text/plain"}}, "complete"},
+        }));
+    bench fleet;
+    fleet.fates_ = {attempt_fate::hangs};
+    const auto writer = fleet.admit(make_call(call_class::keyed_payment));
+
+    fleet.running_.on_headers(200, fields);
+    fleet.running_.on_body(std::string_view("bytes"));
+    fleet.running_.on_end({.kind = outcome::completed});
+
+    CHECK(writer->looks_whole());
+    CHECK(writer->body == "bytes");
+    CHECK(fleet.claim_log_ == std::vector{claim});
+}
+
 // Guards against a second execution for a key whose response is known.
 TEST_CASE("a recorded response is replayed without an attempt") {
     bench fleet;
--- a/src/calls/routing.cpp
+++ b/src/calls/routing.cpp
@@ -197,6 +197,12 @@
         call.path.insert(0, 1, '/');
     }
     call.headers = forwarded(request.headers);
+    if (call.idempotency_key) {
+        // An encoded response is not recorded.
+        std::erase_if(call.headers, [](const base::http_header& field) {
+            return base::equal_header_names(field.name, "Accept-Encoding");
+        });
+    }
     call.method = std::move(request.method);
     call.body = std::move(request.body);
     if (service->kind == configuration::service_kind::model) {
--- a/src/calls/routing_test.cpp
+++ b/src/calls/routing_test.cpp
@@ -136,6 +136,22 @@
     CHECK(call.path == target.substr(std::string("/plain").size()));
 }
 
+// Guards against responses that cannot be recorded for their key because the
+// caller, like most, accepts encodings.
+TEST_CASE("encodings are accepted only for calls without a key") {
+    const std::string key = GENERATE(as<std::string>(), "", "k");
+    auto request = make_request("POST", "/plain/x");
+    request.headers.push_back({"Accept-Encoding", "gzip"});
+    if (!key.empty()) {
+        request.headers.push_back({std::string(idempotency_key_header), key});
+    }
+    const auto routed = route(make_configuration(), std::move(request));
+    REQUIRE(std::holds_alternative<routed_call>(routed));
+    const auto& headers = std::get<routed_call>(routed).headers;
+    CHECK(base::find_header(headers, "Accept-Encoding").has_value() ==
+          key.empty());
+}
+
 // Guards against a caller's credential or control header reaching a backend
 // server.
 TEST_CASE("credentials and control headers are not forwarded") {
