Show that a stream without event ids is resumed from its start

The entry daemon resumes a stream of a resumable route also when none of the events that it passed on had an id. The request to the second server then has no Last-Event-Id, and its events follow those of the first. The test fails: the caller gets the first event twice.

--- a/tests/entry_path/entry_path_test.py
+++ b/tests/entry_path/entry_path_test.py
@@ -271,6 +271,25 @@
         self.assertFalse(received.endswith(b"0\r\n\r\n"))
         self.assertEqual(len(self.runs(self.model)), 1)
 
+    async def read_plan(self):
+        """Asks for a resumable stream; returns all bytes of its connection."""
+        reader, writer = await send(
+            self.daemon.callers, "/plan/", method="POST", Connection="close"
+        )
+        received = await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+        return received
+
+    # Guards against events that come twice, because no id says where the
+    # stream is to go on.
+    async def test_a_stream_without_ids_is_not_resumed(self):
+        self.set_all(self.model, "stream_cut")
+        for replica in self.model:
+            replica.has_ids = False
+        received = await self.read_plan()
+        self.assertEqual(received.count(b"data: 1."), 1)
+        self.assertFalse(received.endswith(b"0\r\n\r\n"))
+
     # Guards against work for a caller who has left.
     async def test_a_caller_who_leaves_ends_the_work(self):
         self.set_all(self.plain, "wait")
--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -176,6 +176,8 @@
         self.act = "answer"
         self.events = 3
         self.pause = 0.01
+        # Whether events carry an id.
+        self.has_ids = True
 
     async def start(self):
         await super().start()
@@ -274,7 +276,9 @@
         writer.write(self.head(request_id, extra).encode())
         first = int(headers.get("last-event-id", 0)) + 1
         for number in range(first, self.events + 1):
-            event = f"id: {number}\ndata: {number}.{self.name}\n\n".encode()
+            event = f"data: {number}.{self.name}\n\n".encode()
+            if self.has_ids:
+                event = b"id: %d\n%s" % (number, event)
             if number > stop_after:
                 event = event[: len(event) // 2]
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
