Show that a document completes a resumed stream

On a streaming route, every signed response with status 200 counts as a stream of events, whatever its Content-Type. As the answer to a resumption, an empty JSON document ends the caller's stream with the last chunk, and one that ends with an empty line is passed on as an event before. A document without an empty line at its end is taken for part of an event and aborts the stream, which is right.

--- a/tests/entry_path/entry_path_test.py
+++ b/tests/entry_path/entry_path_test.py
@@ -290,6 +290,19 @@
         self.assertEqual(received.count(b"data: 1."), 1)
         self.assertFalse(received.endswith(b"0\r\n\r\n"))
 
+    # Guards against a stream that ends with what is no stream.
+    async def test_a_stream_is_resumed_only_by_a_stream(self):
+        self.set_all(self.model, "stream_cut")
+        for document in [b"", b"{}", b"{}\n\n"]:
+            with self.subTest(document=document):
+                for replica in self.model:
+                    replica.resumed_act = "document"
+                    replica.document = document
+                received = await self.read_plan()
+                self.assertIn(b"id: 1\n", received)
+                self.assertNotIn(b"{}", received)
+                self.assertFalse(received.endswith(b"0\r\n\r\n"))
+
     # Guards against work for a caller who has left.
     async def test_a_caller_who_leaves_ends_the_work(self):
         self.set_all(self.plain, "wait")
--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -174,6 +174,10 @@
         self.abandoned = []
         # What to do with a request: a name of a method `act_...`.
         self.act = "answer"
+        # The same for a request that resumes a stream; empty: no difference.
+        self.resumed_act = ""
+        # Body of `document`.
+        self.document = b""
         self.events = 3
         self.pause = 0.01
         # Whether events carry an id.
@@ -212,7 +216,9 @@
                 )
             else:
                 self.runs.append((request_id, headers, body, line))
-                action = getattr(self, "act_" + self.act)
+                resumes = self.resumed_act and "last-event-id" in headers
+                act = self.resumed_act if resumes else self.act
+                action = getattr(self, "act_" + act)
                 if not await action(reader, writer, request_id, headers):
                     return
             await writer.drain()
@@ -236,6 +242,15 @@
         )
         return True
 
+    async def act_document(self, _reader, writer, request_id, _headers):
+        headers = {
+            REQUEST_ID: request_id,
+            SIGNATURE: self.name,
+            "Content-Type": "application/json",
+        }
+        writer.write(response(200, headers, self.document))
+        return True
+
     async def act_drop(self, _reader, _writer, _request_id, _headers):
         return False
 
