Show that a shorter second run completes a stream

A server that ignores Last-Event-Id starts anew; events that the caller has are left out. When that run ends before it comes to the last of them, it says nothing about the rest of the stream, but its end becomes the end of the response. The test fails for this case and passes where the run gets further.

--- a/tests/entry_path/entry_path_test.py
+++ b/tests/entry_path/entry_path_test.py
@@ -303,6 +303,22 @@
                 self.assertNotIn(b"{}", received)
                 self.assertFalse(received.endswith(b"0\r\n\r\n"))
 
+    # Guards against a stream that ends with a run that never got as far as the
+    # caller. A run that starts anew and gets there is a proper end.
+    async def test_a_run_that_starts_anew_must_pass_the_last_event(self):
+        self.set_all(self.model, "stream_cut")
+        for events in [3, 1]:
+            with self.subTest(events=events):
+                for replica in self.model:
+                    replica.cut_after = 2
+                    replica.resumed_act = "stream_anew"
+                    replica.anew_events = events
+                received = await self.read_plan()
+                self.assertEqual(received.count(b"id: 1\n"), 1)
+                self.assertEqual(received.count(b"id: 2\n"), 1)
+                self.assertEqual(received.count(b"id: 3\n"), int(events == 3))
+                self.assertEqual(received.endswith(b"0\r\n\r\n"), events == 3)
+
     # Guards against work for a caller who has left.
     async def test_a_caller_who_leaves_ends_the_work(self):
         self.set_all(self.plain, "wait")
--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -182,6 +182,10 @@
         self.pause = 0.01
         # Whether events carry an id.
         self.has_ids = True
+        # Events before `stream_cut` breaks off.
+        self.cut_after = 1
+        # Events of `stream_anew`.
+        self.anew_events = 1
 
     async def start(self):
         await super().start()
@@ -286,19 +290,20 @@
             self.abandoned.append((request_id, time.monotonic()))
         return False
 
-    async def stream(self, writer, request_id, headers, stop_after):
+    async def stream(self, writer, request_id, headers, events, cut_after=None):
         extra = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         writer.write(self.head(request_id, extra).encode())
         first = int(headers.get("last-event-id", 0)) + 1
-        for number in range(first, self.events + 1):
+        for number in range(first, events + 1):
+            cut = cut_after is not None and number > cut_after
             event = f"data: {number}.{self.name}\n\n".encode()
             if self.has_ids:
                 event = b"id: %d\n%s" % (number, event)
-            if number > stop_after:
+            if cut:
                 event = event[: len(event) // 2]
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
-            if number > stop_after:
+            if cut:
                 return False
             await asyncio.sleep(self.pause)
         writer.write(b"0\r\n\r\n")
@@ -308,7 +313,12 @@
         return await self.stream(writer, request_id, headers, self.events)
 
     async def act_stream_cut(self, _reader, writer, request_id, headers):
-        return await self.stream(writer, request_id, headers, 1)
+        return await self.stream(
+            writer, request_id, headers, self.events, self.cut_after
+        )
+
+    async def act_stream_anew(self, _reader, writer, request_id, _headers):
+        return await self.stream(writer, request_id, {}, self.anew_events)
 
 
 def configuration(version, routes, keys=("key-1",)):
