Show that a removed route completes its streams

Before each attempt the entry daemon looks up the request's route again. When its route was removed and a shorter prefix without streams is left, the response to a resumption is collected as a whole response and then dropped: the response has begun, so only the last chunk is written. The test fails: the caller gets the first of three events and the end of a complete response.

--- a/tests/entry_path/entry_path_test.py
+++ b/tests/entry_path/entry_path_test.py
@@ -319,6 +319,34 @@
                 self.assertEqual(received.count(b"id: 3\n"), int(events == 3))
                 self.assertEqual(received.endswith(b"0\r\n\r\n"), events == 3)
 
+    # Guards against a stream that ends as complete because a new configuration
+    # has its request handled by a route that has no streams.
+    async def test_a_route_that_is_removed_does_not_complete_its_streams(self):
+        self.set_all(self.model, "stream_cut")
+        for replica in self.model:
+            replica.resumed_act = "stream"
+            replica.released.clear()
+        reading = asyncio.create_task(self.read_plan())
+
+        async def runs():
+            return len(self.runs(self.model)) == 1
+
+        await eventually(runs)
+        routes = [each for each in ROUTES if each["path-prefix"] != "/plan/"]
+        routes += [route("/", "idempotent", "model"), route("/new/", "idempotent")]
+        self.store.write_json("op", "config", configuration(2, routes))
+
+        async def served():
+            return (await self.ask("/new/"))[0] == 200
+
+        await eventually(served)
+        for replica in self.model:
+            replica.released.set()
+        received = await reading
+        self.assertIn(b"id: 1\n", received)
+        if received.endswith(b"0\r\n\r\n"):
+            self.assertIn(b"id: 3\n", received)
+
     # Guards against work for a caller who has left.
     async def test_a_caller_who_leaves_ends_the_work(self):
         self.set_all(self.plain, "wait")
--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -184,6 +184,9 @@
         self.has_ids = True
         # Events before `stream_cut` breaks off.
         self.cut_after = 1
+        # Set: `stream_cut` breaks off at once.
+        self.released = asyncio.Event()
+        self.released.set()
         # Events of `stream_anew`.
         self.anew_events = 1
 
@@ -300,6 +303,7 @@
             if self.has_ids:
                 event = b"id: %d\n%s" % (number, event)
             if cut:
+                await self.released.wait()
                 event = event[: len(event) // 2]
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
