Show that callers of HTTP/1.0 get chunks

The entry daemon sends every stream in chunks, also to a caller of HTTP/1.0, which knows only the close of the connection as the end. Such a caller takes the chunk sizes for content, and a cut stream ends for it like a whole one. The platform speaks HTTP/1.1 only, so this concerns other callers.

--- a/tests/entry_path/entry_path_test.py
+++ b/tests/entry_path/entry_path_test.py
@@ -347,6 +347,24 @@
         if received.endswith(b"0\r\n\r\n"):
             self.assertIn(b"id: 3\n", received)
 
+    # Guards against chunks that a caller of HTTP/1.0 cannot read, so that the
+    # close of the connection is the only end that it sees.
+    async def test_a_caller_of_http_1_0_gets_no_chunks(self):
+        for act in ["stream", "stream_cut"]:
+            with self.subTest(act=act):
+                self.set_all(self.model, act)
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", self.daemon.callers
+                )
+                writer.write(
+                    b"POST /chat/ HTTP/1.0\r\nHost: h.example\r\n"
+                    b"Api-Key: key-1\r\nContent-Length: 0\r\n\r\n"
+                )
+                received = await asyncio.wait_for(reader.read(), 5)
+                writer.close()
+                self.assertTrue(received.startswith(b"HTTP/1."))
+                self.assertNotIn(b"Transfer-Encoding", received)
+
     # Guards against work for a caller who has left.
     async def test_a_caller_who_leaves_ends_the_work(self):
         self.set_all(self.plain, "wait")
