Show that a gap at one server spoils the next resumption

A relay that missed an event behind a restart stays failed when the stream goes on at another server. It passes nothing on, the end of that attempt is judged as broken by the fault of the one before, and the stream is aborted although the server would have finished it. The response does not look complete, but an attempt is wasted. The test fails.

--- a/src/entry/event_relay_test.cpp
+++ b/src/entry/event_relay_test.cpp
@@ -45,6 +45,18 @@
     CHECK(tested.failed());
 }
 
+// Guards against the fault of one server that is held against the next.
+TEST_CASE("a gap at one server does not spoil the resumption at the next") {
+    event_relay tested;
+    tested.feed(event(1));
+    tested.restart();
+    CHECK(tested.feed(event(3)).empty());
+    CHECK(tested.failed());
+    tested.restart();
+    CHECK_FALSE(tested.failed());
+    CHECK(tested.feed(event(2) + event(3)) == event(2) + event(3));
+}
+
 TEST_CASE("a version line before the id does not hide it") {
     event_relay tested;
     tested.feed("some-version: 2\nid: 9\ndata: x\n\n");
