Show that events behind the last id are repeated

Where some events have ids and the last ones have none, the stream goes on behind the last id. The events after it come again, and the second run's end completes the response.

--- a/tests/entry_path/entry_path_test.py
+++ b/tests/entry_path/entry_path_test.py
@@ -285,10 +285,16 @@
     async def test_a_stream_without_ids_is_not_resumed(self):
         self.set_all(self.model, "stream_cut")
         for replica in self.model:
-            replica.has_ids = False
-        received = await self.read_plan()
-        self.assertEqual(received.count(b"data: 1."), 1)
-        self.assertFalse(received.endswith(b"0\r\n\r\n"))
+            replica.cut_after = 2
+            replica.resumed_act = "stream"
+        for ids_until in [0, 1]:
+            with self.subTest(ids_until=ids_until):
+                for replica in self.model:
+                    replica.ids_until = ids_until
+                received = await self.read_plan()
+                self.assertEqual(received.count(b"data: 1."), 1)
+                self.assertEqual(received.count(b"data: 2."), 1)
+                self.assertFalse(received.endswith(b"0\r\n\r\n"))
 
     # Guards against a stream that ends with what is no stream.
     async def test_a_stream_is_resumed_only_by_a_stream(self):
--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -180,8 +180,8 @@
         self.document = b""
         self.events = 3
         self.pause = 0.01
-        # Whether events carry an id.
-        self.has_ids = True
+        # Events behind this one carry no id.
+        self.ids_until = 1000
         # Events before `stream_cut` breaks off.
         self.cut_after = 1
         # Set: `stream_cut` breaks off at once.
@@ -300,7 +300,7 @@
         for number in range(first, events + 1):
             cut = cut_after is not None and number > cut_after
             event = f"data: {number}.{self.name}\n\n".encode()
-            if self.has_ids:
+            if number <= self.ids_until:
                 event = b"id: %d\n%s" % (number, event)
             if cut:
                 await self.released.wait()
