Show that the answer to HEAD states a wrong length

The entry daemon replaces Content-Length by the size of the body that it received, which is none for HEAD. The caller reads that the content is empty.

--- a/tests/entry_path/entry_path_test.py
+++ b/tests/entry_path/entry_path_test.py
@@ -371,6 +371,18 @@
                 self.assertTrue(received.startswith(b"HTTP/1."))
                 self.assertNotIn(b"Transfer-Encoding", received)
 
+    # Guards against the answer to HEAD that says that the content is empty.
+    async def test_the_answer_to_head_has_the_length_of_the_content(self):
+        self.set_all(self.plain, "head")
+        reader, writer = await send(
+            self.daemon.callers, "/read/", method="HEAD", Connection="close"
+        )
+        received = await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+        self.assertIn(b"HTTP/1.1 200 ", received)
+        self.assertTrue(received.endswith(b"\r\n\r\n"))
+        self.assertNotIn(b"Content-Length: 0", received)
+
     # Guards against work for a caller who has left.
     async def test_a_caller_who_leaves_ends_the_work(self):
         self.set_all(self.plain, "wait")
--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -249,6 +249,10 @@
         )
         return True
 
+    async def act_head(self, _reader, writer, request_id, _headers):
+        writer.write((self.head(request_id, "Content-Length: 5\r\n\r\n")).encode())
+        return True
+
     async def act_document(self, _reader, writer, request_id, _headers):
         headers = {
             REQUEST_ID: request_id,
