Show that a stop cuts a response that is still being read

While it drains, the entry daemon waits for calls. A call ends when its response has been handed to the caller's connection, so a stop does not wait for what a slow caller has not taken yet. The cut response does not look complete, as its length is stated.

--- a/tests/entry_path/entry_path_test.py
+++ b/tests/entry_path/entry_path_test.py
@@ -53,7 +53,7 @@
 class Daemon:
     """One process of the program under test."""
 
-    def __init__(self, store, name="host-1"):
+    def __init__(self, store, name="host-1", **bounds):
         self.callers, self.ready, self.operators, self.peers = free_ports(4)
         self.settings = tempfile.NamedTemporaryFile("w", suffix=".json")
         json.dump(
@@ -70,6 +70,7 @@
                     "revocation_ms": 3000,
                     "retry_ratio": 0.5,
                     "retry_extra": 100,
+                    **bounds,
                 },
                 "limits": {"descriptors": 100},
             },
@@ -383,6 +384,23 @@
         self.assertTrue(received.endswith(b"\r\n\r\n"))
         self.assertNotIn(b"Content-Length: 0", received)
 
+    # Guards against a stop that cuts a response which its server has ended and
+    # its caller is still reading.
+    async def test_a_stop_waits_for_a_caller_who_reads_slowly(self):
+        self.set_all(self.plain, "large")
+        stopped = Daemon(self.store, "host-2", grace_period_ms=10000)
+        try:
+            await eventually(lambda: self.is_ready(stopped), 8)
+            reader, writer = await send(stopped.callers, "/read/", Connection="close")
+            await reader.readuntil(b"\r\n\r\n")
+            stopped.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(4)
+            body = await asyncio.wait_for(reader.read(), 5)
+            writer.close()
+            self.assertEqual(len(body), self.plain[0].large_bytes)
+        finally:
+            stopped.stop()
+
     # Guards against work for a caller who has left.
     async def test_a_caller_who_leaves_ends_the_work(self):
         self.set_all(self.plain, "wait")
--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -176,6 +176,8 @@
         self.act = "answer"
         # The same for a request that resumes a stream; empty: no difference.
         self.resumed_act = ""
+        # More than socket buffers hold.
+        self.large_bytes = 12000000
         # Body of `document`.
         self.document = b""
         self.events = 3
@@ -253,6 +255,11 @@
         writer.write((self.head(request_id, "Content-Length: 5\r\n\r\n")).encode())
         return True
 
+    async def act_large(self, _reader, writer, request_id, _headers):
+        headers = {REQUEST_ID: request_id, SIGNATURE: self.name}
+        writer.write(response(200, headers, b"x" * self.large_bytes))
+        return True
+
     async def act_document(self, _reader, writer, request_id, _headers):
         headers = {
             REQUEST_ID: request_id,
