--- a/src/calls/call_manager_test.cpp
+++ b/src/calls/call_manager_test.cpp
@@ -334,6 +334,48 @@
     CHECK_FALSE(writer->looks_whole());
 }
 
+// Guards against a stream that lacks a large event and looks whole, because its
+// final event came behind it.
+TEST_CASE("a stream with an event over the limit is aborted") {
+    const auto first = GENERATE(as<std::string>(), "", "data: {}\n\n");
+    bench fleet;
+    fleet.retry_budget_ = 0;
+    fleet.fates_ = {attempt_fate::hangs};
+    const auto writer = fleet.admit(make_call(call_class::stream));
+    const std::string large(event_splitter::max_event_bytes + 1, 'x');
+
+    fleet.running_.on_headers(200, {{"Content-Type", "text/event-stream"}});
+    for (const std::string& part :
+         {first, "data: " + large, std::string("\n\ndata: [DONE]\n\n")}) {
+        fleet.running_.on_body(part);
+    }
+    fleet.running_.on_end({.kind = outcome::completed});
+
+    CHECK_FALSE((writer->looks_whole() && writer->status == 200));
+    CHECK(writer->aborted == !first.empty());
+    CHECK(writer->body.find("[DONE]") == std::string::npos);
+}
+
+// Guards against events of a second attempt that are joined to a response
+// which was no stream of events.
+TEST_CASE("a large response to a streamed call is not continued by events") {
+    const auto end = GENERATE(outcome::completed, outcome::broken);
+    bench fleet;
+    fleet.fates_ = {attempt_fate::hangs, attempt_fate::answers};
+    const auto writer = fleet.admit(make_call(call_class::stream));
+    const std::string large(manager_options().relay.collect_bytes + 1, 'x');
+
+    fleet.running_.on_headers(400, {{"Content-Type", "application/json"}});
+    fleet.running_.on_body(large);
+    fleet.running_.on_end({.kind = end});
+    fleet.run();
+
+    CHECK(fleet.sent_.size() == 1);
+    CHECK((writer->body == large));
+    CHECK(writer->looks_whole() == (end == outcome::completed));
+    CHECK(writer->aborted == (end == outcome::broken));
+}
+
 // Guards against retries without limit when every replica fails.
 TEST_CASE("attempts end at the limit and at the retry budget") {
     const auto [budget, attempts] =
@@ -401,6 +443,26 @@
     CHECK(writer->status == 0);
 }
 
+// Guards against a replay without the field that says how its body is encoded.
+TEST_CASE("an encoded response is delivered and not recorded") {
+    const auto [fields, claim] =
+        GENERATE(table<base::http_headers, std::string>({
+            {{{"Content-Encoding", "gzip"}}, "unknown"},
+            {{{"Content-Type", "text/plain"}}, "complete"},
+        }));
+    bench fleet;
+    fleet.fates_ = {attempt_fate::hangs};
+    const auto writer = fleet.admit(make_call(call_class::keyed_payment));
+
+    fleet.running_.on_headers(200, fields);
+    fleet.running_.on_body(std::string_view("bytes"));
+    fleet.running_.on_end({.kind = outcome::completed});
+
+    CHECK(writer->looks_whole());
+    CHECK(writer->body == "bytes");
+    CHECK(fleet.claim_log_ == std::vector{claim});
+}
+
 // Guards against a second execution for a key whose response is known.
 TEST_CASE("a recorded response is replayed without an attempt") {
     bench fleet;
--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -178,8 +178,21 @@
         # Servers may share the list.
         self.acts_on_resume = []
         self.error_status = 500
+        # More than socket buffers hold.
+        self.large_bytes = 12000000
+        # Body of `document`.
+        self.document = b""
         self.events = 3
         self.pause = 0.01
+        # Events behind this one carry no id.
+        self.ids_until = 1000
+        # Events before `stream_cut` breaks off.
+        self.cut_after = 1
+        # Set: `stream_cut` breaks off at once.
+        self.released = asyncio.Event()
+        self.released.set()
+        # Events of `stream_anew`.
+        self.anew_events = 1
 
     async def start(self):
         await super().start()
@@ -240,6 +253,24 @@
         writer.write(response(self.error_status, headers, b"error"))
         return True
 
+    async def act_head(self, _reader, writer, request_id, _headers):
+        writer.write((self.head(request_id, "Content-Length: 5\r\n\r\n")).encode())
+        return True
+
+    async def act_large(self, _reader, writer, request_id, _headers):
+        headers = {REQUEST_ID: request_id, SIGNATURE: self.name}
+        writer.write(response(200, headers, b"x" * self.large_bytes))
+        return True
+
+    async def act_document(self, _reader, writer, request_id, _headers):
+        headers = {
+            REQUEST_ID: request_id,
+            SIGNATURE: self.name,
+            "Content-Type": "application/json",
+        }
+        writer.write(response(200, headers, self.document))
+        return True
+
     async def act_drop(self, _reader, _writer, _request_id, _headers):
         return False
 
@@ -275,17 +306,21 @@
             self.abandoned.append((request_id, time.monotonic()))
         return False
 
-    async def stream(self, writer, request_id, headers, stop_after):
+    async def stream(self, writer, request_id, headers, events, cut_after=None):
         extra = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         writer.write(self.head(request_id, extra).encode())
         first = int(headers.get("last-event-id", 0)) + 1
-        for number in range(first, self.events + 1):
-            event = f"id: {number}\ndata: {number}.{self.name}\n\n".encode()
-            if number > stop_after:
+        for number in range(first, events + 1):
+            cut = cut_after is not None and number > cut_after
+            event = f"data: {number}.{self.name}\n\n".encode()
+            if number <= self.ids_until:
+                event = b"id: %d\n%s" % (number, event)
+            if cut:
+                await self.released.wait()
                 event = event[: len(event) // 2]
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
-            if number > stop_after:
+            if cut:
                 return False
             await asyncio.sleep(self.pause)
         writer.write(b"0\r\n\r\n")
@@ -295,7 +330,12 @@
         return await self.stream(writer, request_id, headers, self.events)
 
     async def act_stream_cut(self, _reader, writer, request_id, headers):
-        return await self.stream(writer, request_id, headers, 1)
+        return await self.stream(
+            writer, request_id, headers, self.events, self.cut_after
+        )
+
+    async def act_stream_anew(self, _reader, writer, request_id, _headers):
+        return await self.stream(writer, request_id, {}, self.anew_events)
 
 
 def configuration(version, routes, keys=("key-1",)):
