End a response that passes its size limit instead of reading it on

Cause: a response that is kept until it is whole and passed 16 MiB only set a flag. So a server that sends a body without end held each request until its deadline, got the next one, and was never left out. A length of 1 GB in the head, and a response without the server's signature, which can't be delivered either, were read to the end in the same way.

The head now decides what it can: announced length and missing signature end the exchange at once. Both go through backend_connection::fail_exchange, which a hook may call while the parser runs. The attempt then ends as broken, with the reason in its log line, and the server's health counts a failure.

Ruled out: heads without end (binary, blank lines, reason phrase, field name, field value, many fields) ended early before this change already, at 64 KiB of names and values or 80 KB in all; and bytes behind a whole response closed the connection.

Conclusion: the caller of a response beyond its limits gets what the attempt policy says, at once. A body that comes slowly and stays within 16 MiB still lasts until the deadline, as it can't be told from a long one.

--- a/src/entry/backend_connection.cpp
+++ b/src/entry/backend_connection.cpp
@@ -84,7 +84,7 @@
       parser_(message_kind::response, max_response_head,
               {[this](message_head& head) { on_head(head); },
                [this](std::string_view bytes) {
-                   if (!skipping_ && hooks_) {
+                   if (!skipping_ && hooks_ && failure_.empty()) {
                        const auto hooks = hooks_;
                        hooks->on_body(bytes);
                    }
@@ -96,6 +96,7 @@
     hooks_ = std::make_shared<exchange_hooks>(std::move(hooks));
     head_request_ = request.method == "HEAD";
     skipping_ = false;
+    failure_.clear();
     parser_.next(head_request_);
     std::string bytes = encode_request(request);
     if (channel_) {
@@ -167,6 +168,10 @@
             return;
         }
         bytes.remove_prefix(parser_.feed(bytes));
+        if (!failure_.empty()) {
+            end(exchange_end::broken, failure_);
+            return;
+        }
         switch (parser_.where()) {
             case message_parser::state::complete:
                 on_complete(!bytes.empty());
--- a/src/entry/backend_connection.hpp
+++ b/src/entry/backend_connection.hpp
@@ -58,6 +58,10 @@
     // Connects if need be and sends the request. Only when `is_free`.
     void send(const outgoing_request& request, exchange_hooks hooks);
 
+    // Ends the exchange as broken, for `on_head` and `on_body`: they are not
+    // called any more, and `on_end` follows when the parser has returned.
+    void fail_exchange(std::string_view reason) { failure_ = reason; }
+
     // Ends the connection; hooks are not called any more.
     void close();
 
@@ -92,6 +96,8 @@
     std::shared_ptr<asio::ip::tcp::socket> connecting_;
     message_parser parser_;
     std::shared_ptr<exchange_hooks> hooks_;
+    // Why the exchange must end; empty while it may go on.
+    std::string failure_;
     bool head_request_ = false;
     bool skipping_ = false;
     bool busy_ = false;
--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -6,6 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "entry/refusal.hpp"
+#include "entry/response_limits.hpp"
 #include "platform/message_codec.hpp"
 
 namespace bronzehub::entry {
@@ -20,8 +21,6 @@
 constexpr std::uint32_t max_connect_failures = 3;
 // Bytes that wait for a slow caller before its server is no longer read.
 constexpr std::size_t high_water_bytes = std::size_t{256} * 1024;
-// Whole responses beyond this size are an error of the backend server.
-constexpr std::size_t max_response_bytes = std::size_t{16} * 1024 * 1024;
 constexpr milliseconds store_retry{1000};
 constexpr milliseconds draining_retry{100};
 
@@ -222,6 +221,13 @@
     }
     now.is_stream = route_->kind == fleet_state::route_kind::streaming &&
                     head.status == ok && now.facts.has_signature;
+    const response_outline outline{
+        now.is_stream, now.facts.has_signature,
+        now.facts.not_run || now.status == misdirected, head.body_bytes};
+    now.max_body_bytes = max_body_bytes(outline);
+    if (const std::string fault = check_head(outline); !fault.empty()) {
+        now.connection->fail_exchange(fault);
+    }
     return true;
 }
 
@@ -233,8 +239,10 @@
         relay_events(bytes);
         return;
     }
-    if (attempt_->body.size() + bytes.size() > max_response_bytes) {
-        attempt_->overflowed = true;
+    if (attempt_->body.size() + bytes.size() > attempt_->max_body_bytes) {
+        attempt_->body = {};  // The next attempt may have to wait.
+        attempt_->connection->fail_exchange(
+            body_over(attempt_->max_body_bytes));
         return;
     }
     attempt_->body.append(bytes);
@@ -300,8 +308,8 @@
                                                        : attempt_end::answered;
     }
     // A response without a signature was not made by the backend server.
-    return now.facts.has_signature && !now.overflowed ? attempt_end::answered
-                                                      : attempt_end::broken;
+    return now.facts.has_signature ? attempt_end::answered
+                                   : attempt_end::broken;
 }
 
 void call::on_end(exchange_end how, std::string_view reason) {
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -82,7 +82,7 @@
         fleet_state::response_description facts;
         std::string body;
         bool is_stream = false;
-        bool overflowed = false;
+        std::size_t max_body_bytes = 0;
     };
 
     bool find_route();
--- a/src/entry/message_parser.cpp
+++ b/src/entry/message_parser.cpp
@@ -61,6 +61,9 @@
                 expect && base::equal_header_names(*expect, "100-continue");
         }
         to.head_.keep_alive = http_should_keep_alive(parser) != 0;
+        if (to.has_body() && (parser->flags & F_CONTENTLENGTH) != 0) {
+            to.head_.body_bytes = parser->content_length;
+        }
         to.hooks_.on_head(to.head_);
         return to.head_response_ ? 1 : 0;
     }
@@ -125,6 +128,16 @@
     return taken;
 }
 
+// Whether the framing fields of the head announce a body.
+bool message_parser::has_body() const {
+    constexpr int first_final_status = 200;
+    constexpr int no_content = 204;
+    constexpr int not_modified = 304;
+    return kind_ == message_kind::request ||
+           (!head_response_ && head_.status >= first_final_status &&
+            head_.status != no_content && head_.status != not_modified);
+}
+
 void message_parser::finish() {
     if (state_ == state::in_body) {
         const std::size_t taken = http_parser_execute(
--- a/src/entry/message_parser.hpp
+++ b/src/entry/message_parser.hpp
@@ -9,7 +9,9 @@
 #include <http_parser.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -25,6 +27,8 @@
     int status = 0;
     base::http_headers headers;
     bool keep_alive = false;
+    // Announced length of a body that follows.
+    std::optional<std::uint64_t> body_bytes;
     // The caller waits for an interim response before it sends the body.
     bool expects_continue = false;
 };
@@ -79,6 +83,7 @@
 private:
     friend struct parser_callbacks;
 
+    bool has_body() const;
     void check_result(std::size_t taken, std::size_t given);
 
     message_kind kind_;
--- a/src/entry/message_parser_test.cpp
+++ b/src/entry/message_parser_test.cpp
@@ -81,9 +81,25 @@
     CHECK(response.parser.where() == expected);
 }
 
+// Guards against a length that is taken for one of a body where none follows.
+TEST_CASE("a head tells the length of the body that follows") {
+    const auto [bytes, expected] =
+        GENERATE(table<std::string, std::optional<std::uint64_t>>({
+            {"200 OK\r\nContent-Length: 1000000000000\r\n\r\n", 1000000000000},
+            {"200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", std::nullopt},
+            {"200 OK\r\n\r\n", std::nullopt},
+            {"304 Not Modified\r\nContent-Length: 5\r\n\r\n", std::nullopt},
+        }));
+    CAPTURE(bytes);
+    parsed response(message_kind::response);
+    response.parser.feed("HTTP/1.1 " + bytes);
+    CHECK(response.head.body_bytes == expected);
+}
+
 TEST_CASE("the response to HEAD has no body") {
     parsed response(message_kind::response);
     response.parser.next(true);
     response.parser.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
     CHECK(response.parser.where() == state::complete);
+    CHECK_FALSE(response.head.body_bytes.has_value());
 }
--- /dev/null
+++ b/src/entry/response_limits.cpp
@@ -0,0 +1,26 @@
+#include "entry/response_limits.hpp"
+
+#include "absl/strings/str_cat.h"
+
+namespace bronzehub::entry {
+
+std::size_t max_body_bytes(const response_outline& response) {
+    return response.is_rejection ? max_rejection_bytes : max_response_bytes;
+}
+
+std::string check_head(const response_outline& response) {
+    if (response.is_stream) {
+        return "";
+    }
+    if (!response.has_signature && !response.is_rejection) {
+        return "response without a signature";
+    }
+    const std::size_t limit = max_body_bytes(response);
+    return response.body_bytes.value_or(0) > limit ? body_over(limit) : "";
+}
+
+std::string body_over(std::size_t limit) {
+    return absl::StrCat("response body over ", limit, " bytes");
+}
+
+}  // namespace bronzehub::entry
--- a/tests/entry_path/entry_path_test.py
+++ b/tests/entry_path/entry_path_test.py
@@ -16,6 +16,7 @@
 import unittest
 
 from platform_standin import (
+    Flood,
     REQUEST_ID,
     Replica,
     SIGNATURE,
@@ -29,6 +30,13 @@
 # Words before the program's path, for a tool that runs it.
 PREFIX = []
 
+# Bytes. A response that is kept until it is whole has 16 MiB at most; while its
+# string grows, half of it exists twice.
+MAX_GROWTH = 32 * 1024 * 1024
+
+# Seconds, well before the deadline of a request.
+EARLY = 1
+
 ROUTES = [
     route("/read/", "idempotent"),
     route("/pay/", "non_idempotent"),
@@ -82,6 +90,14 @@
             stderr=subprocess.STDOUT,
         )
 
+    def resident_peak(self):
+        """The largest resident memory so far, in bytes."""
+        with open(f"/proc/{self.process.pid}/status") as status:
+            for line in status:
+                if line.startswith("VmHWM:"):
+                    return int(line.split()[1]) * 1024
+        raise AssertionError("no VmHWM")
+
     def lines(self):
         self.log.seek(0)
         return [json.loads(line) for line in self.log if line.startswith("{")]
@@ -232,6 +248,90 @@
                 if status == 200:
                     self.assertEqual(body, b"whole")
 
+    async def check_floods(self, replicas, peak):
+        """Waits until all floods are over; each must have been cut early."""
+        floods = [each for replica in replicas for each in replica.floods]
+
+        async def are_over():
+            return all(each.closed_after or each.is_over() for each in floods)
+
+        await eventually(are_over, Flood.MAX_SECONDS + 1)
+        grown = self.daemon.resident_peak() - peak
+        figures = (
+            f"sent {[each.sent for each in floods]} bytes; "
+            f"closed after {[each.closed_after for each in floods]} s; "
+            f"memory grew by {grown} bytes"
+        )
+        self.assertTrue(floods)
+        for each in floods:
+            self.assertIsNotNone(each.closed_after, figures)
+            self.assertLess(each.closed_after, EARLY, figures)
+        self.assertLess(grown, MAX_GROWTH, figures)
+
+    async def check_flood(self, replicas, flood, path, expected):
+        """Asks while `replicas` send bytes without end."""
+        for replica in replicas:
+            replica.act, replica.flood = "flood", flood
+            replica.floods.clear()
+        peak = self.daemon.resident_peak()
+        began = time.monotonic()
+        reader, writer = await send(self.daemon.callers, path, method="POST")
+        try:
+            received = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 10)
+        finally:
+            writer.close()
+        seconds = time.monotonic() - began
+        self.assertIn(b"HTTP/1.1 %d " % expected, received[:13], f"{seconds} s")
+        self.assertLess(seconds, EARLY)
+        await self.check_floods(replicas, peak)
+
+    # Guards against a head without end that holds a request until its deadline.
+    async def test_a_head_without_end_ends_the_attempt(self):
+        for flood in [
+            "binary",
+            "blank_lines",
+            "reason_phrase",
+            "field_name",
+            "field_value",
+            "fields",
+        ]:
+            with self.subTest(flood=flood):
+                await self.check_flood(self.plain, flood, "/pay/", 502)
+
+    # Guards against a body without end that is read until the deadline.
+    async def test_a_body_without_end_ends_the_attempt(self):
+        for flood in [
+            "body",
+            "body_until_close",
+            "announced_length",
+            "unsigned",
+            "rejection",
+        ]:
+            with self.subTest(flood=flood):
+                await self.check_flood(self.plain, flood, "/pay/", 502)
+
+    # Guards against a server that is not held to account for its bytes, and
+    # against callers who wait while they are read.
+    async def test_one_server_without_end_does_not_delay_other_callers(self):
+        self.plain[0].act, self.plain[0].flood = "flood", "body"
+        results = []
+
+        async def ask_in_turn(lane):
+            for number in range(10):
+                began = time.monotonic()
+                status, _, _ = await self.ask("/read/", request_id=f"{lane}-{number}")
+                results.append((status, time.monotonic() - began < EARLY))
+
+        await asyncio.gather(*(ask_in_turn(lane) for lane in range(4)))
+        self.assertEqual(set(results), {(200, True)})
+        # After the first failures, the server gets a probe now and then.
+        self.assertTrue(self.plain[0].floods)
+        self.assertLess(len(self.plain[0].floods), 10)
+
+    # Guards against a kept connection on which bytes go on arriving.
+    async def test_bytes_after_a_response_close_the_connection(self):
+        await self.check_flood(self.plain, "after_response", "/pay/", 200)
+
     # Guards against one bad server that fails what another one could serve.
     async def test_a_repeatable_request_goes_on_at_another_server(self):
         for act in ["drop", "truncate", "error", "shed", "unsigned"]:
--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -47,6 +47,45 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+class Flood:
+    """Bytes without end on one connection, bounded in count and time."""
+
+    MAX_BYTES = 96 * 1024 * 1024
+    MAX_SECONDS = 4.0
+
+    def __init__(self):
+        self.sent = 0
+        self.began = time.monotonic()
+        # Seconds until the other side closed the connection; None: it did not.
+        self.closed_after = None
+
+    def is_over(self):
+        return time.monotonic() - self.began > self.MAX_SECONDS
+
+    async def run(self, reader, writer, opening, piece):
+        """Repeats `piece` until the other side closes the connection."""
+        closed = asyncio.ensure_future(reader.read(1))
+        try:
+            writer.write(opening)
+            while self.sent < self.MAX_BYTES and not self.is_over():
+                writer.write(piece)
+                self.sent += len(piece)
+                await writer.drain()
+                # A drain of a short buffer does not let other tasks run.
+                await asyncio.sleep(0)
+                if closed.done():
+                    break
+            left = self.began + self.MAX_SECONDS - time.monotonic()
+            if await asyncio.wait_for(closed, max(left, 0.01)) == b"":
+                self.closed_after = time.monotonic() - self.began
+        except ConnectionError:
+            self.closed_after = time.monotonic() - self.began
+        except asyncio.TimeoutError:
+            pass  # `closed_after` says that it stayed open.
+        finally:
+            closed.cancel()
+
+
 class Listener:
     """A TCP server on loopback that ends its connections when it stops."""
 
@@ -174,6 +213,9 @@
         self.abandoned = []
         # What to do with a request: a name of a method `act_...`.
         self.act = "answer"
+        # What `act_flood` repeats: a key of `flood_bytes`.
+        self.flood = ""
+        self.floods = []
         self.events = 3
         self.pause = 0.01
 
@@ -264,6 +306,67 @@
         )
         return True
 
+    def flood_bytes(self, kind, request_id):
+        """Returns (opening, what is repeated) of a flood."""
+        line = b"HTTP/1.1 200 OK\r\n"
+        chunked = "Transfer-Encoding: chunked\r\n\r\n"
+        head = self.head(request_id).encode()
+        signed = self.head(request_id, chunked).encode()
+        foreign = self.head("another", chunked).encode()
+        unsigned = f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {request_id}\r\n{chunked}"
+        filler = b"a" * 32768
+        chunk = b"8000\r\n" + filler + b"\r\n"
+        return {
+            "binary": (b"", b"\x00\x01\xff" * 5000),
+            "blank_lines": (b"", b"\r\n" * 8192),
+            "reason_phrase": (b"HTTP/1.1 200 ", filler),
+            "field_name": (line, filler),
+            "field_value": (line + b"X: ", filler),
+            "fields": (head, b"x: y\r\n" * 4096),
+            "interim": (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+            "foreign_body": (foreign, chunk),
+            "foreign_responses": (
+                b"",
+                response(200, {REQUEST_ID: "another", SIGNATURE: self.name}, b"x"),
+            ),
+            "foreign_until_close": (self.head("another").encode() + b"\r\n", b"a"),
+            "body": (signed, chunk),
+            "body_until_close": (head + b"\r\n", filler),
+            "announced_length": (head + b"Content-Length: 1000000000\r\n\r\n", b"a"),
+            "unsigned": (unsigned.encode(), b"1\r\na\r\n"),
+            "chunk_extension": (signed + b"1;", filler),
+            "chunk_extensions": (signed, b"1;" + filler + b"\r\na\r\n"),
+            "trailers": (signed + b"0\r\n", b"x: y\r\n" * 4096),
+            "rejection": (
+                f"HTTP/1.1 503 X\r\nBronzehub-Not-Executed: 1\r\n{chunked}".encode(),
+                chunk,
+            ),
+            "event": (signed, chunk),
+            "event_after_event": (signed + self.chunk_of_event(1), chunk),
+            "gap": (signed, self.chunk_of_event(100)),
+            "repeats": (signed, self.chunk_of_event(1)),
+            "after_response": (
+                response(
+                    200, {REQUEST_ID: request_id, SIGNATURE: self.name}, b"whole"
+                ),
+                filler,
+            ),
+        }[kind]
+
+    def chunk_of_event(self, number):
+        event = b"id: %d\ndata: x\n\n" % number
+        return b"%x\r\n%s\r\n" % (len(event), event)
+
+    async def act_flood(self, reader, writer, request_id, _headers):
+        flood = Flood()
+        self.floods.append(flood)
+        await flood.run(reader, writer, *self.flood_bytes(self.flood, request_id))
+        return False
+
+    async def act_cut_then_flood(self, reader, writer, request_id, headers):
+        act = self.act_flood if "last-event-id" in headers else self.act_stream_cut
+        return await act(reader, writer, request_id, headers)
+
     async def act_wait(self, reader, _writer, request_id, _headers):
         if not await reader.read(1):
             self.abandoned.append((request_id, time.monotonic()))
