End an attempt at once when its event stream cannot go on

Cause: event_relay noticed an event over 1 MiB and a gap behind a resumption, but nothing ended the attempt. Every further byte was kept in the unfinished event, and the caller waited until the deadline, which counts for the server as a good result. A restart at another server kept the failure, so that its events were dropped too. A server that repeats an event that was passed on already was read for ever.

A failed relay now keeps nothing and drops what follows until its restart, which clears the failure. Repeated events must come in order, so that their number is limited by the ids.

Conclusion: a stream without further whole events ends as the attempt policy says, at once. Events without an id, and ids that repeat in a stream that was not resumed, are passed on as before.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -250,6 +250,9 @@
 
 void call::relay_events(std::string_view bytes) {
     const std::string_view events = relay_.feed(bytes);
+    if (relay_.failed()) {
+        attempt_->connection->fail_exchange(relay_.failure());
+    }
     if (events.empty()) {
         return;
     }
--- a/src/entry/event_relay.cpp
+++ b/src/entry/event_relay.cpp
@@ -2,6 +2,8 @@
 
 #include <charconv>
 
+#include "absl/strings/str_cat.h"
+
 namespace bronzehub::entry {
 namespace {
 
@@ -41,10 +43,15 @@
     }
     if (restarted_ && last_id_) {
         if (*id <= *last_id_) {
+            // A server that starts anew repeats each event once, in order.
+            if (last_repeated_ && *id <= *last_repeated_) {
+                fail("events repeated out of order");
+            }
+            last_repeated_ = id;
             return false;
         }
         if (*id != *last_id_ + 1) {
-            failed_ = true;
+            fail("event missing behind a resumption");
             return false;
         }
     }
@@ -55,11 +62,14 @@
 
 std::string_view event_relay::feed(std::string_view bytes) {
     whole_.clear();
+    if (failed()) {
+        return whole_;
+    }
     const std::size_t search_from = partial_.empty() ? 0 : partial_.size() - 1;
     partial_.append(bytes);
     std::size_t begin = 0;
     std::size_t end = partial_.find(separator, search_from);
-    while (end != std::string::npos && !failed_) {
+    while (end != std::string::npos && !failed()) {
         end += separator.size();
         const auto event =
             std::string_view(partial_).substr(begin, end - begin);
@@ -70,12 +80,23 @@
         end = partial_.find(separator, begin);
     }
     partial_.erase(0, begin);
-    failed_ = failed_ || partial_.size() > max_event_bytes;
+    if (partial_.size() > max_event_bytes) {
+        fail(absl::StrCat("event over ", max_event_bytes, " bytes"));
+    }
+    if (failed()) {
+        partial_ = {};  // The next server's stream may be a while away.
+    }
     return whole_;
 }
 
+void event_relay::fail(std::string_view why) {
+    failure_ = why;
+}
+
 void event_relay::restart() {
     partial_.clear();
+    failure_.clear();
+    last_repeated_.reset();
     restarted_ = true;
 }
 
--- a/src/entry/event_relay.hpp
+++ b/src/entry/event_relay.hpp
@@ -28,18 +28,23 @@
     std::uint64_t events() const { return events_; }
     // An event has begun and not ended.
     bool has_partial() const { return !partial_.empty(); }
-    // An event was too large, or one is missing behind a restart.
-    bool failed() const { return failed_; }
+    // Why the stream can't go on from this server; empty if it can. What
+    // follows is dropped until `restart`.
+    std::string_view failure() const { return failure_; }
+    bool failed() const { return !failure_.empty(); }
 
 private:
     bool accept(std::string_view event);
+    void fail(std::string_view why);
 
     std::string partial_;
     std::string whole_;
     std::optional<std::uint64_t> last_id_;
     std::uint64_t events_ = 0;
     bool restarted_ = false;
-    bool failed_ = false;
+    // Of the events since the restart that were passed on before it.
+    std::optional<std::uint64_t> last_repeated_;
+    std::string failure_;
 };
 
 // The id of an event, if it has a numeric one.
--- a/src/entry/event_relay_test.cpp
+++ b/src/entry/event_relay_test.cpp
@@ -45,6 +45,52 @@
     CHECK(tested.failed());
 }
 
+// Guards against bytes without end that fill the memory, and against a server
+// that repeats events for ever.
+TEST_CASE("a stream that cannot go on fails and keeps nothing") {
+    const auto [what, bytes, reason] =
+        GENERATE(table<std::string, std::string, std::string>({
+            {"event without end",
+             std::string(event_relay::max_event_bytes / 8 + 1, 'a'),
+             "event over 1048576 bytes"},
+            {"gap", event(9), "event missing behind a resumption"},
+            {"repeats", event(1), "events repeated out of order"},
+        }));
+    CAPTURE(what);
+    event_relay tested;
+    tested.feed(event(1) + event(2));
+    tested.restart();
+    for (int i = 0; i < 8; ++i) {
+        CHECK(tested.feed(bytes).empty());
+    }
+    CHECK(tested.failure() == reason);
+    CHECK_FALSE(tested.has_partial());
+    CHECK(tested.feed(event(3)).empty());
+    CHECK(tested.events() == 2);
+}
+
+// Guards against a failure at one server that ends the stream at the next.
+TEST_CASE("a stream goes on behind a failure at another server") {
+    event_relay tested;
+    tested.feed(event(1));
+    tested.restart();
+    tested.feed(event(9));
+    REQUIRE(tested.failed());
+    tested.restart();
+    CHECK_FALSE(tested.failed());
+    CHECK(tested.feed(event(1) + event(2)) == event(2));
+    CHECK_FALSE(tested.failed());
+}
+
+// Guards against whole events that are lost with the bytes behind them.
+TEST_CASE("events before a failure are passed on") {
+    event_relay tested;
+    const std::string endless(event_relay::max_event_bytes + 1, 'a');
+    CHECK(tested.feed(event(1) + endless) == event(1));
+    CHECK(tested.failed());
+    CHECK_FALSE(tested.has_partial());
+}
+
 TEST_CASE("a version line before the id does not hide it") {
     event_relay tested;
     tested.feed("some-version: 2\nid: 9\ndata: x\n\n");
--- a/tests/entry_path/entry_path_test.py
+++ b/tests/entry_path/entry_path_test.py
@@ -310,6 +310,34 @@
             with self.subTest(flood=flood):
                 await self.check_flood(self.plain, flood, "/pay/", 502)
 
+    # Guards against an event without end that fills the memory.
+    async def test_an_event_without_end_ends_the_attempt(self):
+        await self.check_flood(self.model, "event", "/chat/", 502)
+
+    # Guards against a begun stream that is held open by bytes without events,
+    # and against an end that looks proper.
+    async def test_a_begun_stream_without_further_events_ends_early(self):
+        for path, act, flood in [
+            ("/chat/", "flood", "event_after_event"),
+            ("/plan/", "cut_then_flood", "event"),
+            ("/plan/", "cut_then_flood", "gap"),
+            ("/plan/", "cut_then_flood", "repeats"),
+        ]:
+            with self.subTest(flood=flood, act=act):
+                for replica in self.model:
+                    replica.act, replica.flood = act, flood
+                    replica.floods.clear()
+                peak = self.daemon.resident_peak()
+                began = time.monotonic()
+                reader, writer = await send(self.daemon.callers, path, method="POST")
+                received = await asyncio.wait_for(reader.read(), 10)
+                seconds = time.monotonic() - began
+                writer.close()
+                self.assertEqual(received.count(b"id: "), 1)
+                self.assertFalse(received.endswith(b"0\r\n\r\n"))
+                self.assertLess(seconds, EARLY)
+                await self.check_floods(self.model, peak)
+
     # Guards against a server that is not held to account for its bytes, and
     # against callers who wait while they are read.
     async def test_one_server_without_end_does_not_delay_other_callers(self):
