Limit what a backend server sends besides the body of its response

Cause: nothing counted interim responses, responses to other requests and chunk framing. They were read and dropped until the deadline, which counts for the server as a good result. A response to another request that ends with its connection was read to that end, though no further response can come behind it.

response_overhead counts what belongs to no body: at most 256 KiB and eight bytes for each byte of body, and at most 100 skipped responses. Beyond that, and at the head of a skipped response that ends its connection, the exchange ends as broken.

Ruled out: a chunk extension without end and trailers without end ended early before this change already, at the parser's limit of 80 KB.

Before: entry_path_test.py -k framing -k skipped, daemon of the commit before: five failures. chunk_extensions, interim, foreign_body, foreign_responses and foreign_until_close were answered with 504 after 2.50 s.

After: the two tests pass in 0.15 s together, with 502. What is only long or comes behind a few skipped responses is served (long_slow_body, interim_first, foreign_first). entry_path_test.py as a whole passes.

Conclusion: bytes that belong to no body end the attempt at a fixed number, and so early when they come fast. Below the limits, a slow foreign body still lasts until the deadline.

--- a/src/entry/backend_connection.cpp
+++ b/src/entry/backend_connection.cpp
@@ -83,12 +83,7 @@
       address_(std::move(address)),
       parser_(message_kind::response, max_response_head,
               {[this](message_head& head) { on_head(head); },
-               [this](std::string_view bytes) {
-                   if (!skipping_ && hooks_ && failure_.empty()) {
-                       const auto hooks = hooks_;
-                       hooks->on_body(bytes);
-                   }
-               }}) {}
+               [this](std::string_view bytes) { on_body(bytes); }}) {}
 
 void backend_connection::send(const outgoing_request& request,
                               exchange_hooks hooks) {
@@ -97,6 +92,7 @@
     head_request_ = request.method == "HEAD";
     skipping_ = false;
     failure_.clear();
+    overhead_ = {};
     parser_.next(head_request_);
     std::string bytes = encode_request(request);
     if (channel_) {
@@ -167,7 +163,12 @@
             close();
             return;
         }
-        bytes.remove_prefix(parser_.feed(bytes));
+        const std::size_t taken = parser_.feed(bytes);
+        bytes.remove_prefix(taken);
+        overhead_.on_received(taken);
+        if (failure_.empty()) {
+            failure_ = overhead_.excess();
+        }
         if (!failure_.empty()) {
             end(exchange_end::broken, failure_);
             return;
@@ -191,11 +192,30 @@
 void backend_connection::on_head(message_head& head) {
     constexpr int first_final_status = 200;
     skipping_ = head.status < first_final_status;
-    if (skipping_ || !hooks_) {
+    if (!skipping_ && hooks_) {
+        const auto hooks = hooks_;
+        skipping_ = !hooks->on_head(head);
+    }
+    if (skipping_) {
+        on_skipped(head);
+    }
+}
+
+void backend_connection::on_skipped(const message_head& head) {
+    overhead_.on_skipped_response();
+    // To HEAD, the framing fields tell nothing of the end.
+    if (!head.keep_alive && !head_request_ && failure_.empty()) {
+        fail_exchange("foreign response ends the connection");
+    }
+}
+
+void backend_connection::on_body(std::string_view bytes) {
+    if (skipping_ || !hooks_ || !failure_.empty()) {
         return;
     }
+    overhead_.on_body(bytes.size());
     const auto hooks = hooks_;
-    skipping_ = !hooks->on_head(head);
+    hooks->on_body(bytes);
 }
 
 void backend_connection::on_complete(bool extra_bytes) {
--- a/src/entry/backend_connection.hpp
+++ b/src/entry/backend_connection.hpp
@@ -13,6 +13,7 @@
 #include "base/http_header.hpp"
 #include "entry/byte_channel.hpp"
 #include "entry/message_parser.hpp"
+#include "entry/response_limits.hpp"
 
 namespace bronzehub::entry {
 
@@ -87,6 +88,8 @@
     void on_bytes(std::string_view bytes);
     void on_closed(const asio::error_code& error);
     void on_head(message_head& head);
+    void on_body(std::string_view bytes);
+    void on_skipped(const message_head& head);
     void on_complete(bool extra_bytes);
     void end(exchange_end how, std::string_view reason);
 
@@ -98,6 +101,7 @@
     std::shared_ptr<exchange_hooks> hooks_;
     // Why the exchange must end; empty while it may go on.
     std::string failure_;
+    response_overhead overhead_;
     bool head_request_ = false;
     bool skipping_ = false;
     bool busy_ = false;
--- a/src/entry/response_limits.cpp
+++ b/src/entry/response_limits.cpp
@@ -23,4 +23,15 @@
     return absl::StrCat("response body over ", limit, " bytes");
 }
 
+std::string response_overhead::excess() const {
+    if (skipped_ > max_skipped) {
+        return absl::StrCat("over ", max_skipped, " responses skipped");
+    }
+    if (received_ - body_ > max_bytes + bytes_per_body_byte * body_) {
+        return absl::StrCat("over ", max_bytes,
+                            " bytes besides the response body");
+    }
+    return "";
+}
+
 }  // namespace bronzehub::entry
--- a/src/entry/response_limits.hpp
+++ b/src/entry/response_limits.hpp
@@ -36,6 +36,32 @@
 
 std::string body_over(std::size_t limit);
 
+// Counts what comes on a connection for one request besides the body of its
+// response: heads, framing, interim responses and responses to other requests.
+// Not thread-safe.
+class response_overhead {
+public:
+    // Above the largest head that the parser takes together with a late
+    // response to another request; reading more takes longer than a repeat.
+    static constexpr std::size_t max_bytes = std::size_t{256} * 1024;
+    // A chunk of one byte has five bytes of framing.
+    static constexpr std::uint64_t bytes_per_body_byte = 8;
+    // One interim response in each 100 ms for ten seconds.
+    static constexpr std::uint32_t max_skipped = 100;
+
+    void on_received(std::size_t bytes) { received_ += bytes; }
+    void on_body(std::size_t bytes) { body_ += bytes; }
+    void on_skipped_response() { ++skipped_; }
+
+    // Why the exchange must end; empty if it may go on.
+    std::string excess() const;
+
+private:
+    std::uint64_t received_ = 0;
+    std::uint64_t body_ = 0;
+    std::uint32_t skipped_ = 0;
+};
+
 }  // namespace bronzehub::entry
 
 #endif
--- a/src/entry/response_limits_test.cpp
+++ b/src/entry/response_limits_test.cpp
@@ -6,6 +6,13 @@
 using bronzehub::entry::max_rejection_bytes;
 using bronzehub::entry::max_response_bytes;
 using bronzehub::entry::response_outline;
+using bronzehub::entry::response_overhead;
+
+namespace {
+
+constexpr std::size_t limit = response_overhead::max_bytes;
+
+}  // namespace
 
 // Guards against a body that is read although it can't be delivered, and
 // against a response that is not read although it can.
@@ -29,3 +36,29 @@
     CAPTURE(what);
     CHECK(check_head(response) == expected);
 }
+
+// Guards against bytes without end that belong to no body, and against a long
+// body in small parts that is taken for them.
+TEST_CASE("what comes besides a body is limited") {
+    const auto [what, received, body, skipped, expected] =
+        GENERATE(table<std::string, std::size_t, std::size_t, int, std::string>(
+            {{"nothing", 0, 0, 0, ""},
+             {"largest overhead", limit, 0, 1, ""},
+             {"too much overhead", limit + 1, 0, 1,
+              "over 262144 bytes besides the response body"},
+             {"long body", 100 * limit, 99 * limit, 0, ""},
+             {"long body in chunks of a byte", 600 * limit, 100 * limit, 0, ""},
+             {"chunk extensions", 100 * limit, limit, 0,
+              "over 262144 bytes besides the response body"},
+             {"most responses skipped", 100, 0, 100, ""},
+             {"too many responses skipped", 100, 0, 101,
+              "over 100 responses skipped"}}));
+    CAPTURE(what);
+    response_overhead tested;
+    tested.on_received(received);
+    tested.on_body(body);
+    for (int i = 0; i < skipped; ++i) {
+        tested.on_skipped_response();
+    }
+    CHECK(tested.excess() == expected);
+}
--- a/tests/entry_path/entry_path_test.py
+++ b/tests/entry_path/entry_path_test.py
@@ -234,6 +234,7 @@
             ("unsigned", "/read/", 502, 2),
             ("error", "/read/", 500, 2),
             ("foreign_first", "/pay/", 200, 1),
+            ("interim_first", "/pay/", 200, 1),
             ("extra", "/pay/", 200, 1),
         ]:
             with self.subTest(act=act, path=path):
@@ -310,6 +311,30 @@
             with self.subTest(flood=flood):
                 await self.check_flood(self.plain, flood, "/pay/", 502)
 
+    # Guards against a limit that cuts what is only long and slow.
+    async def test_a_long_slow_body_is_served(self):
+        self.set_all(self.plain, "long")
+        status, _, body = await self.ask("/pay/", method="POST")
+        self.assertEqual((status, len(body)), (200, 2_000_000))
+        self.assertEqual(len(self.runs(self.plain)), 1)
+
+    # Guards against bytes around a body that no limit counts.
+    async def test_framing_without_end_ends_the_attempt(self):
+        for flood in ["chunk_extension", "chunk_extensions", "trailers"]:
+            with self.subTest(flood=flood):
+                await self.check_flood(self.plain, flood, "/pay/", 502)
+
+    # Guards against responses to be skipped that never end.
+    async def test_skipped_responses_without_end_end_the_attempt(self):
+        for flood in [
+            "interim",
+            "foreign_body",
+            "foreign_responses",
+            "foreign_until_close",
+        ]:
+            with self.subTest(flood=flood):
+                await self.check_flood(self.plain, flood, "/pay/", 502)
+
     # Guards against an event without end that fills the memory.
     async def test_an_event_without_end_ends_the_attempt(self):
         await self.check_flood(self.model, "event", "/chat/", 502)
--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -299,6 +299,21 @@
         )
         return await self.act_answer(_reader, writer, request_id, _headers)
 
+    async def act_interim_first(self, _reader, writer, request_id, _headers):
+        writer.write(b"HTTP/1.1 102 Processing\r\n\r\n" * 20)
+        return await self.act_answer(_reader, writer, request_id, _headers)
+
+    async def act_long(self, _reader, writer, request_id, _headers):
+        """2 MB in chunks, with pauses."""
+        extra = "Transfer-Encoding: chunked\r\n\r\n"
+        writer.write(self.head(request_id, extra).encode())
+        for _ in range(100):
+            writer.write(b"1\r\na\r\n" * 1000 + b"4a38\r\n" + b"a" * 19000 + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(self.pause)
+        writer.write(b"0\r\n\r\n")
+        return True
+
     async def act_extra(self, _reader, writer, request_id, _headers):
         await self.act_answer(_reader, writer, request_id, _headers)
         writer.write(
