Resume a stream only behind an event with an id, and to its last event

Callers could see events twice, or a stream that ended as complete with an event missing.

Cause: a stream whose last event has no id was resumed as if it began anew, so the second server repeated events that could not be told apart. And a second server that started anew and ended below the caller's last id was taken for a proper end.

A run that repeats events is now followed to the caller's last id; a stream without an id to go on from breaks off.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -133,6 +133,11 @@
     return true;
 }
 
+bool call::may_resume() const {
+    return route_->resumable && relay_.can_resume() &&
+           route_->kind == fleet_state::route_kind::streaming;
+}
+
 void call::send(const fleet_state::backend_server& server) {
     if (!still_valid()) {
         return;
@@ -221,8 +226,9 @@
     if (now.facts.load) {
         environment_.status.on_report(now.server, *now.facts.load);
     }
-    now.is_stream = route_->kind == fleet_state::route_kind::streaming &&
-                    head.status == ok && now.facts.has_signature;
+    now.is_stream =
+        route_->kind == fleet_state::route_kind::streaming &&
+        head.status == ok && now.facts.has_signature;
     const response_outline outline{
         now.is_stream, now.facts.has_signature,
         now.facts.not_run || now.status == misdirected, head.body_bytes};
@@ -309,7 +315,7 @@
     }
     if (now.is_stream) {
         // A stream may properly end without an event.
-        return relay_.has_partial() || relay_.failed()
+        return relay_.has_partial() || relay_.failed() || relay_.is_behind()
                    ? attempt_end::broken
                    : attempt_end::stream_ended;
     }
@@ -378,7 +384,7 @@
     facts.status = attempt_->status;
     facts.repeatable = route_->repeatable();
     facts.response_started = response_started_;
-    facts.resumable = route_->resumable;
+    facts.resumable = may_resume();
     facts.attempts_sent = attempts_sent_;
     facts.max_attempts = route_->max_attempts;
     facts.time_left = time_left() > base::duration(0);
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -99,6 +99,8 @@
     place_request make_place_request(const fleet_state::backend_server& server,
                                      bool may_wait) const;
     bool still_valid();
+    // Whether the response that has begun may go on at another server.
+    bool may_resume() const;
     void send(const fleet_state::backend_server& server);
     bool on_head(const message_head& head);
     void on_body(std::string_view bytes);
--- a/src/entry/event_relay.cpp
+++ b/src/entry/event_relay.cpp
@@ -38,16 +38,17 @@
 bool event_relay::accept(std::string_view event) {
     const auto id = event_id(event);
     if (!id) {
+        last_event_has_id_ = false;
         ++events_;
         return true;
     }
     if (restarted_ && last_id_) {
         if (*id <= *last_id_) {
             // A server that starts anew repeats each event once, in order.
-            if (last_repeated_ && *id <= *last_repeated_) {
+            if (run_last_id_ && *id <= *run_last_id_) {
                 fail("events repeated out of order");
             }
-            last_repeated_ = id;
+            run_last_id_ = id;
             return false;
         }
         if (*id != *last_id_ + 1) {
@@ -56,6 +57,8 @@
         }
     }
     last_id_ = id;
+    run_last_id_ = id;
+    last_event_has_id_ = true;
     ++events_;
     return true;
 }
@@ -96,7 +99,7 @@
 void event_relay::restart() {
     partial_.clear();
     failure_.clear();
-    last_repeated_.reset();
+    run_last_id_.reset();
     restarted_ = true;
 }
 
--- a/src/entry/event_relay.hpp
+++ b/src/entry/event_relay.hpp
@@ -25,6 +25,13 @@
     void restart();
 
     std::optional<std::uint64_t> last_id() const { return last_id_; }
+    // Whether another server can be told where the stream is to go on: only
+    // when the last event that was passed on has an id.
+    bool can_resume() const { return last_id_ && last_event_has_id_; }
+    // A server that started anew has not come as far as the one before it.
+    bool is_behind() const {
+        return run_last_id_ && last_id_ && *run_last_id_ < *last_id_;
+    }
     std::uint64_t events() const { return events_; }
     // An event has begun and not ended.
     bool has_partial() const { return !partial_.empty(); }
@@ -42,8 +49,9 @@
     std::optional<std::uint64_t> last_id_;
     std::uint64_t events_ = 0;
     bool restarted_ = false;
-    // Of the events since the restart that were passed on before it.
-    std::optional<std::uint64_t> last_repeated_;
+    bool last_event_has_id_ = false;
+    // Last id since the restart, of events that were left out too.
+    std::optional<std::uint64_t> run_last_id_;
     std::string failure_;
 };
 
--- a/src/entry/event_relay_test.cpp
+++ b/src/entry/event_relay_test.cpp
@@ -83,6 +83,42 @@
     CHECK(tested.events() == 2);
 }
 
+// Guards against a stream that ends with a run that never got as far as the
+// caller.
+TEST_CASE("a run that starts anew is behind until the last event") {
+    const auto [run, behind] = GENERATE(table<std::string, bool>({
+        {"", false},
+        {event(1), true},
+        {event(1) + event(2), false},
+        {event(1) + event(2) + event(3), false},
+        {event(3), false},
+    }));
+    CAPTURE(run);
+    event_relay tested;
+    tested.feed(event(1) + event(2));
+    CHECK_FALSE(tested.is_behind());
+    tested.restart();
+    tested.feed(run);
+    CHECK(tested.is_behind() == behind);
+}
+
+// Guards against events that come twice, because no id says where the stream
+// is to go on.
+TEST_CASE("a stream can go on elsewhere only behind an event with an id") {
+    const auto [stream, expected] = GENERATE(table<std::string, bool>({
+        {"", false},
+        {"data: x\n\n", false},
+        {event(1), true},
+        {event(1) + "data: x\n\n", false},
+        {"data: x\n\n" + event(1), true},
+        {event(1) + "data: part", true},
+    }));
+    CAPTURE(stream);
+    event_relay tested;
+    tested.feed(stream);
+    CHECK(tested.can_resume() == expected);
+}
+
 // Guards against whole events that are lost with the bytes behind them.
 TEST_CASE("events before a failure are passed on") {
     event_relay tested;
