Let only a response of the same media type go on with a stream

Callers could see a document of a second server inside their stream, or, when it was empty, a cut stream that ended as complete.

Cause: any signed answer with status 200 on a streaming route counted as a stream.

Before: test_a_stream_is_resumed_only_by_a_stream fails for an empty document and for one that ends with an empty line. After: it passes for all three.

A first answer is relayed as before, whatever its media type. An empty answer of the same media type still ends the stream: a server that has nothing to add sends that.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -32,6 +32,14 @@
 constexpr int gateway_timeout = 504;
 constexpr int first_server_error = 500;
 
+// Content-Type without its parameters.
+std::string media_type(const base::http_headers& headers) {
+    const auto type = base::find_header(headers, "Content-Type");
+    const std::string_view text = type ? *type : std::string_view();
+    const std::string_view bare = text.substr(0, text.find(';'));
+    return std::string(bare.substr(0, bare.find_last_not_of(' ') + 1));
+}
+
 }  // namespace
 
 call::call(call_environment& environment,
@@ -228,7 +236,9 @@
     }
     now.is_stream =
         route_->kind == fleet_state::route_kind::streaming &&
-        head.status == ok && now.facts.has_signature;
+        head.status == ok && now.facts.has_signature &&
+        (!now.resumes || base::equal_header_names(media_type(head.headers),
+                                                  response_media_type_));
     const response_outline outline{
         now.is_stream, now.facts.has_signature,
         now.facts.not_run || now.status == misdirected, head.body_bytes};
@@ -270,6 +280,7 @@
         const auto now = environment_.loop.now();
         report_.first_byte_after_ms =
             duration_cast<milliseconds>(now - request_.arrived_at).count();
+        response_media_type_ = media_type(attempt_->headers);
         caller_->begin(attempt_->status, attempt_->headers);
     }
     if (place_number_) {
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -147,6 +147,7 @@
     std::uint32_t attempts_sent_ = 0;
     std::uint32_t connect_failures_ = 0;
     bool response_started_ = false;
+    std::string response_media_type_;
     bool may_have_run_ = false;
     bool ended_ = false;
     call_report report_;
