Check again whether a repeat is allowed when the route has changed

Callers could see a cut stream that ended as complete when a new configuration came between two attempts: the response of the second one, on a route without streams, was held back as a whole one, and delivering it wrote the last chunk. For the same reason a request could be repeated that its new route does not allow to be.

Cause: the decision to send again was made for the old route, and only the services of the new one were looked at before the request was sent.

Before: test_a_route_that_is_removed_does_not_complete_its_streams fails. After: it passes. Such a call ends with the cause `route changed`: 502, or a response that breaks off.

--- a/src/cli/explanation.cpp
+++ b/src/cli/explanation.cpp
@@ -76,6 +76,10 @@
                    "The backend server's stream ended early and could not go "
                    "on elsewhere.",
                    ""},
+    cause_sentence{"route changed",
+                   "A new configuration does not allow the attempt that was "
+                   "to follow; the request may have run.",
+                   "configuration in force"},
     cause_sentence{"stream not resumed",
                    "The stream ended early, and no engine had a place for the "
                    "rest.",
--- a/src/cli/explanation_test.cpp
+++ b/src/cli/explanation_test.cpp
@@ -34,6 +34,7 @@
             {"failed", "broken", "may have run"},
             {"failed", "stream broken", "could not go on"},
             {"failed", "stream not resumed", "place for the rest"},
+            {"failed", "route changed", "does not allow the attempt"},
             {"failed", "deadline passed", "worked on it"},
             {"refused", "deadline passed while waiting", "before it was sent"},
             {"abandoned", "caller left", "closed its connection"},
--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -137,6 +137,12 @@
     if (!find_route() || !check_key()) {
         return false;
     }
+    // What was decided after an earlier attempt must hold for the new route.
+    if (response_started_ ? !may_resume()
+                          : may_have_run_ && !route_->repeatable()) {
+        respond_error(bad_gateway, "route changed");
+        return false;
+    }
     choose_service();
     return true;
 }
