Send no chunks to callers of HTTP/1.0 and reset what breaks off

Callers of HTTP/1.0 got the framing of chunks inside their stream, and a stream that broke off ended for them like a whole one, by the close of the connection.

Before: test_a_caller_of_http_1_0_gets_no_chunks fails (Transfer-Encoding in the head). After: it passes. For such callers the close of the connection marks the end, so a response that breaks off resets it. The test now also demands all events in order, and the reset; the version in the status line is ours, HTTP/1.1.

--- a/src/entry/byte_channel.cpp
+++ b/src/entry/byte_channel.cpp
@@ -179,6 +179,15 @@
     hooks_.reset();
 }
 
+void byte_channel::reset() {
+    if (open_) {
+        asio::error_code ignored;  // The connection may have failed already.
+        std::ignore =
+            socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+    close();
+}
+
 void byte_channel::close_after_write(unread_bytes unread) {
     if (!open_ || closing_) {
         return;
--- a/src/entry/byte_channel.hpp
+++ b/src/entry/byte_channel.hpp
@@ -51,6 +51,8 @@
     // been read yet. Costs a system call.
     bool is_ended_by_peer();
     void close();
+    // Drops what is pending and lets the other side see a failure.
+    void reset();
 
     enum class unread_bytes : std::uint8_t { none, expected };
 
--- a/src/entry/caller_connection.cpp
+++ b/src/entry/caller_connection.cpp
@@ -175,6 +175,7 @@
     in_call_ = true;
     keep_alive_ = parser_.keep_alive();
     head_request_ = head.method == "HEAD";
+    allows_chunks_ = head.allows_chunks;
     request_.method = head.method;
     request_.target = head.target;
     request_.headers = head.headers;
@@ -247,8 +248,10 @@
 void caller_connection::begin(int status, const base::http_headers& headers) {
     if (in_call_) {
         channel_->send_without_delay();
+        keep_alive_ = keep_alive_ && allows_chunks_;
         unsent_head_ =
-            encode_head(status, headers, "Transfer-Encoding: chunked\r\n");
+            encode_head(status, headers,
+                        allows_chunks_ ? "Transfer-Encoding: chunked\r\n" : "");
     }
 }
 
@@ -256,15 +259,20 @@
     if (!in_call_ || bytes.empty()) {
         return;
     }
-    std::string chunk = std::exchange(unsent_head_, {});
-    absl::StrAppend(&chunk, absl::Hex(bytes.size()), "\r\n");
-    chunk.append(bytes).append("\r\n");
-    channel_->write(chunk);
+    std::string part = std::exchange(unsent_head_, {});
+    if (allows_chunks_) {
+        absl::StrAppend(&part, absl::Hex(bytes.size()), "\r\n");
+        part.append(bytes).append("\r\n");
+    } else {
+        part.append(bytes);
+    }
+    channel_->write(part);
 }
 
 void caller_connection::finish() {
     if (in_call_) {
-        channel_->write(std::exchange(unsent_head_, {}) + "0\r\n\r\n");
+        channel_->write(std::exchange(unsent_head_, {}) +
+                        (allows_chunks_ ? "0\r\n\r\n" : ""));
         end_call();
     }
 }
@@ -274,7 +282,11 @@
     in_call_ = false;
     disarm_timeout();
     drained_ = nullptr;
-    channel_->close_after_write(unread_bytes());
+    if (allows_chunks_) {
+        channel_->close_after_write(unread_bytes());
+    } else {
+        channel_->reset();
+    }
     hooks_->on_closed(*this);
 }
 
--- a/src/entry/caller_connection.hpp
+++ b/src/entry/caller_connection.hpp
@@ -123,6 +123,9 @@
     bool in_call_ = false;
     bool keep_alive_ = true;
     bool head_request_ = false;
+    // The caller understands chunks; else the close of the connection marks the
+    // end of a response whose length is not known.
+    bool allows_chunks_ = true;
     bool parsing_ = false;
     bool rejected_ = false;
 };
--- a/src/entry/message_parser.cpp
+++ b/src/entry/message_parser.cpp
@@ -61,6 +61,8 @@
                 expect && base::equal_header_names(*expect, "100-continue");
         }
         to.head_.keep_alive = http_should_keep_alive(parser) != 0;
+        to.head_.allows_chunks =
+            parser->http_major == 1 && parser->http_minor >= 1;
         if (to.has_body() && (parser->flags & F_CONTENTLENGTH) != 0) {
             to.head_.body_bytes = parser->content_length;
         }
--- a/src/entry/message_parser.hpp
+++ b/src/entry/message_parser.hpp
@@ -31,6 +31,8 @@
     std::optional<std::uint64_t> body_bytes;
     // The caller waits for an interim response before it sends the body.
     bool expects_continue = false;
+    // The other side understands chunks: HTTP/1.1 or later.
+    bool allows_chunks = false;
 };
 
 struct parser_hooks {
--- a/src/entry/message_parser_test.cpp
+++ b/src/entry/message_parser_test.cpp
@@ -96,6 +96,15 @@
     CHECK(response.head.body_bytes == expected);
 }
 
+// Guards against chunks that are sent to a caller who can't read them.
+TEST_CASE("a head tells whether the other side understands chunks") {
+    const auto [version, expected] = GENERATE(
+        table<std::string, bool>({{"HTTP/1.0", false}, {"HTTP/1.1", true}}));
+    parsed request(message_kind::request);
+    request.parser.feed("GET / " + version + "\r\nHost: h\r\n\r\n");
+    CHECK(request.head.allows_chunks == expected);
+}
+
 TEST_CASE("the response to HEAD has no body") {
     parsed response(message_kind::response);
     response.parser.next(true);
--- a/tests/entry_path/entry_path_test.py
+++ b/tests/entry_path/entry_path_test.py
@@ -561,10 +561,16 @@
                     b"POST /chat/ HTTP/1.0\r\nHost: h.example\r\n"
                     b"Api-Key: key-1\r\nContent-Length: 0\r\n\r\n"
                 )
+                if act == "stream_cut":
+                    with self.assertRaises(ConnectionResetError):
+                        await asyncio.wait_for(reader.read(), 5)
+                    continue
                 received = await asyncio.wait_for(reader.read(), 5)
                 writer.close()
-                self.assertTrue(received.startswith(b"HTTP/1."))
+                self.assertTrue(received.startswith(b"HTTP/1.1 200 "))
                 self.assertNotIn(b"Transfer-Encoding", received)
+                _, _, events = received.partition(b"\r\n\r\n")
+                self.assertRegex(events, rb"\Aid: 1\n[^\r]*id: 3\ndata: 3\.m-\d\n\n\Z")
 
     # Guards against the answer to HEAD that says that the content is empty.
     async def test_the_answer_to_head_has_the_length_of_the_content(self):
