End a response of the store that passes 8 MiB

Cause: the store client kept the body of a response until its timeout, without a limit. A store that answers without end filled the memory of each host, at each of its readings.

The reading fails with "store: response body over 8388608 bytes" and is repeated after its usual pause.

Conclusion: a reading of the store is limited in memory. The number of pages of one listing is not.

--- a/src/entry/store_client.cpp
+++ b/src/entry/store_client.cpp
@@ -3,8 +3,16 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "entry/response_limits.hpp"
 
 namespace bronzehub::entry {
+namespace {
+
+// A page of the store has 1 MB of rows, and two in base64 with their names; the
+// rest is for changes of more than a page.
+constexpr std::size_t max_store_response = std::size_t{8} * 1024 * 1024;
+
+}  // namespace
 
 store_client::store_client(event_loop& loop, std::string address)
     : loop_(loop), address_(std::move(address)) {}
@@ -38,7 +46,7 @@
                        status_ = head.status;
                        return true;
                    },
-                   [this](std::string_view bytes) { body_.append(bytes); },
+                   [this](std::string_view bytes) { on_body(bytes); },
                    [this](exchange_end how, std::string_view reason) {
                        if (how != exchange_end::complete) {
                            finish(absl::UnavailableError(
@@ -49,6 +57,15 @@
                    }});
 }
 
+void store_client::on_body(std::string_view bytes) {
+    if (body_.size() + bytes.size() > max_store_response) {
+        body_ = {};  // The next call may be a while away.
+        connection_->fail_exchange(body_over(max_store_response));
+        return;
+    }
+    body_.append(bytes);
+}
+
 void store_client::finish(absl::StatusOr<platform_wire::rows_response> result) {
     if (timeout_) {
         loop_.cancel(*std::exchange(timeout_, std::nullopt));
--- a/src/entry/store_client.hpp
+++ b/src/entry/store_client.hpp
@@ -31,6 +31,7 @@
     std::uint64_t failures() const { return failures_; }
 
 private:
+    void on_body(std::string_view bytes);
     void finish(absl::StatusOr<platform_wire::rows_response> result);
 
     event_loop& loop_;
--- a/tests/entry_path/entry_path_test.py
+++ b/tests/entry_path/entry_path_test.py
@@ -249,9 +249,9 @@
                 if status == 200:
                     self.assertEqual(body, b"whole")
 
-    async def check_floods(self, replicas, peak):
+    async def check_floods(self, sources, peak):
         """Waits until all floods are over; each must have been cut early."""
-        floods = [each for replica in replicas for each in replica.floods]
+        floods = [each for source in sources for each in source.floods]
 
         async def are_over():
             return all(each.closed_after or each.is_over() for each in floods)
@@ -381,6 +381,19 @@
         self.assertTrue(self.plain[0].floods)
         self.assertLess(len(self.plain[0].floods), 10)
 
+    # Guards against a store whose answer fills the memory of each host.
+    async def test_an_answer_of_the_store_without_end_is_dropped(self):
+        peak = self.daemon.resident_peak()
+        self.store.fault = "flood"
+
+        async def asked():
+            return len(self.store.floods) >= 2
+
+        await eventually(asked, 5)
+        self.store.fault = ""
+        await self.check_floods([self.store], peak)
+        self.assertEqual((await self.ask("/read/"))[0], 200)
+
     # Guards against a kept connection on which bytes go on arriving.
     async def test_bytes_after_a_response_close_the_connection(self):
         await self.check_flood(self.plain, "after_response", "/pay/", 200)
--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -125,8 +125,9 @@
         self.version = 0
         self.changed = asyncio.Event()
         self.calls = []
-        # One of: "", "refuse", "silent", "rate", "compact".
+        # One of: "", "refuse", "silent", "rate", "compact", "flood".
         self.fault = ""
+        self.floods = []
 
     def write(self, table, key, value):
         self.version += 1
@@ -153,6 +154,13 @@
     async def serve(self, reader, writer):
         while True:
             line, _, body = await read_message(reader)
+            if self.fault == "flood":
+                flood = Flood()
+                self.floods.append(flood)
+                await flood.run(
+                    reader, writer, b"HTTP/1.1 200 OK\r\n\r\n", b"a" * 32768
+                )
+                return
             writer.write(await self.answer(line, body))
             await writer.drain()
 
