Name the limit in the log when a head is too large

The line of the broken attempt ended in "not a response: " without a reason when the names and values of a head passed 64 KiB, as entryd's log showed for the field_value flood of entry_path_test.py. It says "head over 65536 bytes" now.

The new cases of message_parser_test.cpp show that each kind of head without end, a chunk extension and trailers end at 64 KiB of names and values or at the parser library's 80 KB; but for the text, they passed before.

--- a/src/entry/message_parser.cpp
+++ b/src/entry/message_parser.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+
 namespace bronzehub::entry {
 
 // Passes what the library reports on to the object behind `data`.
@@ -19,6 +21,8 @@
         to.head_bytes_ += size;
         if (to.head_bytes_ > to.max_head_bytes_) {
             to.state_ = message_parser::state::head_too_large;
+            to.error_ =
+                absl::StrCat("head over ", to.max_head_bytes_, " bytes");
             return 1;
         }
         return 0;
--- a/src/entry/message_parser_test.cpp
+++ b/src/entry/message_parser_test.cpp
@@ -62,6 +62,34 @@
     request.parser.feed("GET / HTTP/1.1\r\nX: " + std::string(100, 'a') +
                         "\r\n\r\n");
     CHECK(request.parser.where() == state::head_too_large);
+    CHECK(request.parser.error() == "head over 50 bytes");
+}
+
+// Guards against a head without end that is kept until the memory is full.
+TEST_CASE("a head without end is too large, whatever it repeats") {
+    const auto [begin, piece, reason] =
+        GENERATE(table<std::string, std::string, std::string>({
+            {"HTTP/1.1 200 ", "a", "too many header bytes"},
+            {"HTTP/1.1 200 OK\r\n", "a", "head over 65536 bytes"},
+            {"HTTP/1.1 200 OK\r\nX: ", "a", "head over 65536 bytes"},
+            {"HTTP/1.1 200 OK\r\n", "x: y\r\n", "too many header bytes"},
+            {"", "\r\n", "too many header bytes"},
+            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "a",
+             "too many header bytes"},
+            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+             "x: y\r\n", "too many header bytes"},
+        }));
+    CAPTURE(begin, piece);
+    parsed response(message_kind::response, std::size_t{64} * 1024);
+    response.parser.feed(begin);
+    std::size_t taken = 0;
+    constexpr std::size_t bound = std::size_t{100} * 1024;
+    while (response.parser.error().empty() && taken < bound) {
+        taken += response.parser.feed(piece);
+    }
+    CHECK(std::string(response.parser.error()).find(reason) !=
+          std::string::npos);
+    CHECK(taken <= std::size_t{80} * 1024);
 }
 
 // Guards against a response that was cut off and looks complete.
