Read an idle connection on after a response that was read with pauses

Cause: a connection whose reading was paused for a slow caller or a late host when its response ended stayed paused in the pool. Neither its end nor bytes that no request asked for were seen, so that the next request was sent on it and took those bytes for its response. Reading was resumed only by that request.

Before: entry_test "bytes on an idle connection close it": the case without a pause passes, the one with a pause fails, the connection is still open; three runs of three.

After: the same test passes in three runs of three, entry_test in five of five, and entry_path_test.py as a whole.

Conclusion: an idle connection is read at all times and closes with the first byte or its end.

--- a/src/entry/backend_connection.cpp
+++ b/src/entry/backend_connection.cpp
@@ -96,8 +96,6 @@
     parser_.next(head_request_);
     std::string bytes = encode_request(request);
     if (channel_) {
-        // Its last response may have been read with pauses.
-        channel_->resume_reading();
         write_request(bytes);
     } else {
         connect(std::move(bytes));
@@ -240,6 +238,10 @@
     const auto hooks = std::exchange(hooks_, nullptr);
     if (!reusable) {
         close();
+    } else {
+        // A pause was for this response; the end of an idle connection, and
+        // bytes that no one asked for, must be seen at once.
+        channel_->resume_reading();
     }
     hooks->on_end(exchange_end::complete, "");
 }
--- a/src/entry/backend_connection_test.cpp
+++ b/src/entry/backend_connection_test.cpp
@@ -26,7 +26,6 @@
     // Sends a request and answers it; returns when the exchange has ended.
     void run(std::string_view answer) {
         connection->send({"GET", "/", {}, ""}, make_hooks());
-        tcp::socket server(loop.context());
         listener.accept(server);
         asio::write(server, asio::buffer(answer.data(), answer.size()));
         while (ends.empty()) {
@@ -45,6 +44,7 @@
 
     event_loop loop;
     tcp::acceptor listener;
+    tcp::socket server{loop.context()};
     std::shared_ptr<backend_connection> connection;
     std::function<bool(const message_head&)> on_head = [](const message_head&) {
         return true;
@@ -89,3 +89,20 @@
     CHECK(parts == (at_head ? 0 : 1));
     CHECK(tested.connection->is_closed());
 }
+
+// Guards against bytes behind a response that are taken for the next one, as
+// nobody read them while the connection was idle.
+TEST_CASE("bytes on an idle connection close it") {
+    const bool paused = GENERATE(false, true);
+    exchange tested;
+    tested.on_body = [&](std::string_view) {
+        if (paused) {
+            tested.connection->pause();
+        }
+    };
+    tested.run(whole);
+    REQUIRE(tested.connection->is_free());
+    asio::write(tested.server, asio::buffer("HTTP/1.1 200 OK\r\n", 17));
+    tested.loop.context().poll();
+    CHECK(tested.connection->is_closed());
+}
