--- a/src/entry/event_relay_test.cpp
+++ b/src/entry/event_relay_test.cpp
@@ -133,3 +133,29 @@
     tested.feed("some-version: 2\nid: 9\ndata: x\n\n");
     CHECK(tested.last_id() == 9);
 }
+
+// Guards against a stream that breaks off although it could go on, because its
+// last block is a comment, which is no event.
+TEST_CASE("a comment behind an event with an id does not stop a resumption") {
+    const std::string comment =
+        GENERATE(as<std::string>(), ": keep-alive\n\n", "retry: 1000\n\n");
+    CAPTURE(comment);
+    event_relay tested;
+    tested.feed(event(1) + comment);
+    CHECK(tested.can_resume());
+}
+
+// Guards against a second run that is held to rules of a resumption although
+// the first one passed on nothing.
+TEST_CASE("ids of a first run and of a repeated one may increase alike") {
+    const int attempts = GENERATE(1, 2);
+    CAPTURE(attempts);
+    event_relay tested;
+    if (attempts == 2) {
+        tested.feed("id: 1\nda");
+        tested.restart();
+    }
+    const std::string stream = event(2) + event(4);
+    CHECK(tested.feed(stream) == stream);
+    CHECK_FALSE(tested.failed());
+}
--- a/tests/entry_path/entry_path_test.py
+++ b/tests/entry_path/entry_path_test.py
@@ -585,6 +585,128 @@
                 _, _, events = received.partition(b"\r\n\r\n")
                 self.assertRegex(events, rb"\Aid: 1\n[^\r]*id: 3\ndata: 3\.m-\d\n\n\Z")
 
+    # Guards against a response that was cut and is delivered as whole, because
+    # its server marks no end but the close of the connection.
+    async def test_a_body_that_only_a_close_ends_is_not_delivered_as_whole(self):
+        self.set_all(self.plain, "until_close")
+        status, _, body = await self.ask("/pay/", method="POST")
+        self.assertEqual(status, 502, body)
+
+    # Guards against a cut stream that ends as complete, because its server
+    # marks no end but the close of the connection.
+    async def test_a_stream_that_only_a_close_ends_does_not_look_complete(self):
+        self.set_all(self.model, "stream_until_close")
+        reader, writer = await send(
+            self.daemon.callers, "/chat/", method="POST", Connection="close"
+        )
+        received = await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+        self.assertFalse(received.endswith(b"0\r\n\r\n"), received)
+
+    # Guards against a stop that ends a stream to a caller of HTTP/1.0 as if it
+    # were complete.
+    async def test_a_stop_resets_unfinished_streams_of_http_1_0(self):
+        for replica in self.model:
+            replica.events, replica.pause = 300, 0.05
+        stopped = Daemon(self.store, "host-2", grace_period_ms=2500)
+        try:
+            await eventually(lambda: self.is_ready(stopped), 8)
+            reader, writer = await asyncio.open_connection("127.0.0.1", stopped.callers)
+            writer.write(
+                b"POST /chat/ HTTP/1.0\r\nHost: h.example\r\n"
+                b"Api-Key: key-1\r\nContent-Length: 0\r\n\r\n"
+            )
+            await reader.readuntil(b"id: 1\n")
+            stopped.process.send_signal(signal.SIGTERM)
+            with self.assertRaises(ConnectionResetError):
+                received = await asyncio.wait_for(reader.read(), 8)
+                self.assertIn(b"id: 300\n", received)
+            writer.close()
+        finally:
+            stopped.stop()
+
+    # Guards against a stream that goes on with the events of another service,
+    # because its route was moved meanwhile.
+    async def test_a_moved_route_does_not_mix_two_services_in_a_stream(self):
+        self.set_all(self.model, "stream_cut")
+        for replica in self.model:
+            replica.released.clear()
+        self.set_all(self.plain, "stream")
+        reading = asyncio.create_task(self.read_plan())
+
+        async def runs():
+            return len(self.runs(self.model)) == 1
+
+        await eventually(runs)
+        routes = [each for each in ROUTES if each["path-prefix"] != "/plan/"]
+        routes += [
+            route("/plan/", "streaming", "plain", stream_resumption=True),
+            route("/new/", "idempotent"),
+        ]
+        self.store.write_json("op", "config", configuration(2, routes))
+
+        async def served():
+            return (await self.ask("/new/", method="POST"))[0] == 200
+
+        await eventually(served)
+        for replica in self.model:
+            replica.released.set()
+        received = await reading
+        self.assertIn(b".m-", received)
+        self.assertNotIn(b".p-", received)
+
+    # Guards against a request that fails because the late response to another
+    # request is large.
+    async def test_a_large_foreign_response_is_skipped(self):
+        self.set_all(self.plain, "large_foreign_first")
+        status, _, body = await self.ask("/pay/", method="POST")
+        self.assertEqual((status, body), (200, b"whole"))
+
+    # Guards against a rejected request that counts as run, because the
+    # rejection has a large body.
+    async def test_a_large_rejection_still_states_that_nothing_ran(self):
+        self.set_all(self.plain, "large_rejection")
+        status, headers, _ = await self.ask("/pay/", method="POST")
+        self.assertEqual(status, 503)
+        self.assertIn("retry-after", headers)
+
+    # Guards against a response that promises that nothing ran, although an
+    # earlier attempt may have.
+    async def test_an_error_after_a_broken_attempt_makes_no_promise(self):
+        self.set_all(self.plain, "drop_first_run")
+        for replica in self.plain:
+            replica.peers, replica.error_status = self.plain, 503
+        status, _, _ = await self.ask("/read/")
+        self.assertEqual(len(self.runs(self.plain)), 2)
+        self.assertEqual(status, 502)
+
+    # Guards against a request that runs twice, because its route became
+    # non-idempotent between two attempts.
+    async def test_a_request_is_not_repeated_on_a_route_that_forbids_it(self):
+        self.set_all(self.plain, "drop_when_released")
+        for replica in self.plain:
+            replica.released.clear()
+        asking = asyncio.create_task(self.ask("/read/", method="POST"))
+
+        async def runs():
+            return len(self.runs(self.plain)) == 1
+
+        await eventually(runs)
+        routes = [each for each in ROUTES if each["path-prefix"] != "/read/"]
+        routes += [route("/read/", "non_idempotent")]
+        routes += [route("/new/", "streaming", "model")]
+        self.store.write_json("op", "config", configuration(2, routes))
+
+        async def served():
+            return (await self.ask("/new/", method="POST"))[0] == 200
+
+        await eventually(served)
+        for replica in self.plain:
+            replica.released.set()
+        status, _, _ = await asking
+        self.assertEqual(status, 502)
+        self.assertEqual(len(self.runs(self.plain)), 1)
+
     # Guards against the answer to HEAD that says that the content is empty.
     async def test_the_answer_to_head_has_the_length_of_the_content(self):
         self.set_all(self.plain, "head")
--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -238,9 +238,11 @@
         self.ids_until = 1000
         # Events before `stream_cut` breaks off.
         self.cut_after = 1
-        # Set: `stream_cut` breaks off at once.
+        # Set: `stream_cut` and `drop_when_released` break off at once.
         self.released = asyncio.Event()
         self.released.set()
+        # All servers whose runs `drop_first_run` counts.
+        self.peers = [self]
         # Events of `stream_anew`.
         self.anew_events = 1
 
@@ -338,6 +340,38 @@
         writer.write(response(200, {REQUEST_ID: request_id}, b"unsigned"))
         return True
 
+    async def act_until_close(self, _reader, writer, request_id, _headers):
+        """Breaks off a body whose end only the close would mark."""
+        writer.write((self.head(request_id) + "\r\nhalf").encode())
+        return False
+
+    async def act_stream_until_close(self, _reader, writer, request_id, _headers):
+        """The same, for a stream of events."""
+        extra = "Content-Type: text/event-stream\r\n\r\n"
+        writer.write(self.head(request_id, extra).encode())
+        writer.write(b"id: 1\ndata: 1\n\n")
+        return False
+
+    async def act_large_foreign_first(self, reader, writer, request_id, headers):
+        foreign = {REQUEST_ID: "another", SIGNATURE: self.name}
+        writer.write(response(200, foreign, b"f" * 512 * 1024))
+        return await self.act_answer(reader, writer, request_id, headers)
+
+    async def act_large_rejection(self, _reader, writer, request_id, _headers):
+        headers = {"Bronzehub-Not-Executed": 1, REQUEST_ID: request_id}
+        writer.write(response(503, headers, b"r" * 128 * 1024))
+        return True
+
+    async def act_drop_first_run(self, reader, writer, request_id, headers):
+        """Drops the first run at all `peers`; any later one is an error."""
+        if sum(len(replica.runs) for replica in self.peers) == 1:
+            return False
+        return await self.act_error(reader, writer, request_id, headers)
+
+    async def act_drop_when_released(self, _reader, _writer, _request_id, _headers):
+        await self.released.wait()
+        return False
+
     async def act_foreign_first(self, _reader, writer, request_id, _headers):
         writer.write(
             response(200, {REQUEST_ID: "another", SIGNATURE: self.name}, b"foreign")
