End a resumption at the head of an answer that is no stream

The exchange now ends as broken at the head, with its reason and status in the line of the attempt, so that another server is asked at once. A statement that the request was not run is still read.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -247,7 +247,8 @@
                                                   response_media_type_));
     const response_outline outline{
         now.is_stream, now.facts.has_signature,
-        now.facts.not_run || now.status == misdirected, head.body_bytes};
+        now.facts.not_run || now.status == misdirected, head.body_bytes,
+        now.resumes};
     now.max_body_bytes = max_body_bytes(outline);
     if (const std::string fault = check_head(outline); !fault.empty()) {
         now.connection->fail_exchange(fault);
--- a/src/entry/response_limits.cpp
+++ b/src/entry/response_limits.cpp
@@ -15,6 +15,9 @@
     if (!response.has_signature && !response.is_rejection) {
         return "response without a signature";
     }
+    if (response.resumes && !response.is_rejection) {
+        return "no stream in answer to a resumption";
+    }
     const std::size_t limit = max_body_bytes(response);
     return response.body_bytes.value_or(0) > limit ? body_over(limit) : "";
 }
--- a/src/entry/response_limits.hpp
+++ b/src/entry/response_limits.hpp
@@ -21,6 +21,8 @@
     bool is_rejection = false;
     // Announced length in bytes.
     std::optional<std::uint64_t> body_bytes;
+    // It is to go on with a stream that another server began.
+    bool resumes = false;
 };
 
 // Whole responses beyond this size are an error of the backend server.
--- a/src/entry/response_limits_test.cpp
+++ b/src/entry/response_limits_test.cpp
@@ -32,6 +32,11 @@
              {false, false, true, max_rejection_bytes + 1},
              "response body over 65536 bytes"},
             {"stream", {true, true, false, max_response_bytes + 1}, ""},
+            {"stream, resumed", {true, true, false, {}, true}, ""},
+            {"no stream, resumed",
+             {false, true, false, 5, true},
+             "no stream in answer to a resumption"},
+            {"rejection, resumed", {false, false, true, 5, true}, ""},
         }));
     CAPTURE(what);
     CHECK(check_head(response) == expected);
