--- a/tests/entry_path/entry_path_test.py
+++ b/tests/entry_path/entry_path_test.py
@@ -33,9 +33,9 @@
 PREFIX = []
 
 # Bytes. A response that is kept until it is whole has 16 MiB at most, and twice
-# that while it moves to a larger string; half as much again for an allocator
-# that keeps freed memory, as the address sanitizer does.
-MAX_GROWTH = 48 * 1024 * 1024
+# that while it moves to a larger string. For builds without a sanitizer, whose
+# allocator keeps freed memory.
+MAX_GROWTH = 32 * 1024 * 1024
 
 # Seconds, well before the deadline of a request.
 EARLY = 1
