Make the soak resume streams at servers that answer in every way

A tenth of the callers read slowly, a fifth send several requests on a connection. A stream framed as complete must have all events in order once, one that is cut must have a prefix of them, and no request may run more often than its route allows.

--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -13,10 +13,17 @@
 
 SIGNATURE = "Bronzehub-Replica-Signature"
 REQUEST_ID = "Bronzehub-Attempt-Id"
+RESUME_AFTER = "Last-Event-Id"
+# A caller asks for events of this size.
+EVENT_BYTES = "Event-Bytes"
 
 
-async def read_message(reader):
-    """Reads one request or response; returns (first line, headers, body)."""
+async def read_message(reader, body=None, pause_s=0):
+    """Reads one request or response; returns (first line, headers, body).
+
+    The chunks of a body are added to `body`, which holds what was read if the
+    message is cut; `pause_s` is how long to wait before each one.
+    """
     head = await reader.readuntil(b"\r\n\r\n")
     lines = head.decode("latin-1").split("\r\n")
     headers = {}
@@ -24,9 +31,10 @@
         if line:
             name, _, value = line.partition(":")
             headers[name.strip().lower()] = value.strip()
-    body = b""
+    body = bytearray() if body is None else body
     if headers.get("transfer-encoding") == "chunked":
         while True:
+            await asyncio.sleep(pause_s)
             line = await reader.readline()
             if not line.endswith(b"\n"):
                 raise asyncio.IncompleteReadError(line, None)
@@ -36,8 +44,8 @@
                 break
             body += chunk[:-2]
     elif "content-length" in headers:
-        body = await reader.readexactly(int(headers["content-length"]))
-    return lines[0], headers, body
+        body += await reader.readexactly(int(headers["content-length"]))
+    return lines[0], headers, bytes(body)
 
 
 def response(status, headers=None, body=b""):
@@ -158,6 +166,10 @@
         return response(200, {"Content-Type": "application/json"}, text)
 
 
+# Statuses with which a backend server states that it did not run a request.
+REJECTIONS = {"shed": 503, "limited": 429, "misdirected": 421}
+
+
 class Replica(Listener):
     """A backend server whose behaviour a test chooses by `act`."""
 
@@ -172,8 +184,14 @@
         self.runs = []
         # Arrivals whose connection the other side closed before the end.
         self.abandoned = []
-        # What to do with a request: a name of a method `act_...`.
+        # (time, id, whether it resumed a stream, act) of each request, also of
+        # those that did not run.
+        self.acts = []
+        # What to do with a request: a key of REJECTIONS, or the name of a
+        # method `act_...` and its arguments.
         self.act = "answer"
+        # Returns the act for a request that resumes a stream, or None.
+        self.choose_resumed_act = lambda: None
         self.events = 3
         self.pause = 0.01
 
@@ -204,14 +222,18 @@
             request_id = headers.get(REQUEST_ID.lower(), "")
             if headers.get("bronzehub-expected-replica") not in (None, self.name):
                 writer.write(response(421, {"Bronzehub-Replica-Id": self.name}))
-            elif self.act == "shed":
-                writer.write(
-                    response(503, {"Bronzehub-Not-Executed": 1, REQUEST_ID: request_id})
-                )
+                continue
+            resumed = RESUME_AFTER.lower() in headers
+            act = (resumed and self.choose_resumed_act()) or self.act
+            self.acts.append((time.monotonic(), request_id, resumed, act))
+            if act in REJECTIONS:
+                rejection = {"Bronzehub-Not-Executed": 1, REQUEST_ID: request_id}
+                writer.write(response(REJECTIONS[act], rejection))
             else:
                 self.runs.append((request_id, headers, body, line))
-                action = getattr(self, "act_" + self.act)
-                if not await action(reader, writer, request_id, headers):
+                name, *arguments = act.split(" ")
+                action = getattr(self, "act_" + name)
+                if not await action(reader, writer, request_id, headers, *arguments):
                     return
             await writer.drain()
 
@@ -228,15 +250,28 @@
         )
         return True
 
-    async def act_error(self, _reader, writer, request_id, _headers):
+    async def act_error(self, _reader, writer, request_id, _headers, status=500):
         writer.write(
-            response(500, {REQUEST_ID: request_id, SIGNATURE: self.name}, b"error")
+            response(status, {REQUEST_ID: request_id, SIGNATURE: self.name}, b"error")
         )
         return True
 
+    async def act_error_without_length(self, _reader, writer, request_id, _headers):
+        head = self.head(request_id, "\r\n").replace("200 OK", "500 X")
+        writer.write((head + "error").encode())
+        return False
+
+    async def act_empty(self, _reader, writer, request_id, _headers, status=200):
+        writer.write(response(status, {REQUEST_ID: request_id, SIGNATURE: self.name}))
+        return True
+
     async def act_drop(self, _reader, _writer, _request_id, _headers):
         return False
 
+    async def act_reset(self, _reader, writer, _request_id, _headers):
+        writer.transport.abort()
+        return False
+
     async def act_truncate(self, _reader, writer, request_id, _headers):
         writer.write(
             (self.head(request_id, "Content-Length: 10\r\n\r\n") + "half").encode()
@@ -269,27 +304,52 @@
             self.abandoned.append((request_id, time.monotonic()))
         return False
 
-    async def stream(self, writer, request_id, headers, stop_after):
+    async def stream(self, writer, request_id, headers, first, last, end):
+        """Sends events; `end` tells what follows: whole, cut, close or reset."""
         extra = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         writer.write(self.head(request_id, extra).encode())
-        first = int(headers.get("last-event-id", 0)) + 1
-        for number in range(first, self.events + 1):
-            event = f"id: {number}\ndata: {number}.{self.name}\n\n".encode()
-            if number > stop_after:
-                event = event[: len(event) // 2]
+        padding = "x" * int(headers.get(EVENT_BYTES.lower(), 0))
+        for number in range(first, last + 1):
+            event = f"id: {number}\ndata: {number}.{self.name}{padding}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
-            if number > stop_after:
-                return False
             await asyncio.sleep(self.pause)
-        writer.write(b"0\r\n\r\n")
-        return True
+        if end == "whole":
+            writer.write(b"0\r\n\r\n")
+        elif end == "cut":
+            part = f"id: {max(first, last + 1)}\nda".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(part), part))
+            await writer.drain()
+        elif end == "reset":
+            writer.transport.abort()
+        return end == "whole"
 
     async def act_stream(self, _reader, writer, request_id, headers):
-        return await self.stream(writer, request_id, headers, self.events)
+        first = int(headers.get(RESUME_AFTER.lower(), 0)) + 1
+        return await self.stream(
+            writer, request_id, headers, first, self.events, "whole"
+        )
+
+    async def act_stream_cut(
+        self, _reader, writer, request_id, headers, last=1, end="cut"
+    ):
+        """Ends early, by default in the middle of the event after `last`."""
+        first = int(headers.get(RESUME_AFTER.lower(), 0)) + 1
+        return await self.stream(writer, request_id, headers, first, int(last), end)
+
+    async def act_stream_repeated(self, _reader, writer, request_id, headers):
+        return await self.stream(writer, request_id, headers, 1, self.events, "whole")
+
+    async def act_stream_gap(self, _reader, writer, request_id, headers):
+        """Resumes a stream one event too late."""
+        first = min(int(headers[RESUME_AFTER.lower()]) + 2, self.events)
+        return await self.stream(
+            writer, request_id, headers, first, self.events, "whole"
+        )
 
-    async def act_stream_cut(self, _reader, writer, request_id, headers):
-        return await self.stream(writer, request_id, headers, 1)
+    async def act_stream_extra(self, reader, writer, request_id, headers):
+        await self.act_stream(reader, writer, request_id, headers)
+        return await self.act_error(reader, writer, request_id, headers)
 
 
 def configuration(version, routes, keys=("key-1",)):
