--- a/src/entry/backend_connection.hpp
+++ b/src/entry/backend_connection.hpp
@@ -13,6 +13,7 @@
 #include "base/http_header.hpp"
 #include "entry/byte_channel.hpp"
 #include "entry/message_parser.hpp"
+#include "entry/response_limits.hpp"
 
 namespace bronzehub::entry {
 
@@ -58,6 +59,10 @@
     // Connects if need be and sends the request. Only when `is_free`.
     void send(const outgoing_request& request, exchange_hooks hooks);
 
+    // Ends the exchange as broken, for `on_head` and `on_body`: they are not
+    // called any more, and `on_end` follows when the parser has returned.
+    void fail_exchange(std::string_view reason) { failure_ = reason; }
+
     // Ends the connection; hooks are not called any more.
     void close();
 
@@ -83,6 +88,8 @@
     void on_bytes(std::string_view bytes);
     void on_closed(const asio::error_code& error);
     void on_head(message_head& head);
+    void on_body(std::string_view bytes);
+    void on_skipped(const message_head& head);
     void on_complete(bool extra_bytes);
     void end(exchange_end how, std::string_view reason);
 
@@ -92,6 +99,9 @@
     std::shared_ptr<asio::ip::tcp::socket> connecting_;
     message_parser parser_;
     std::shared_ptr<exchange_hooks> hooks_;
+    // Why the exchange must end; empty while it may go on.
+    std::string failure_;
+    response_overhead overhead_;
     bool head_request_ = false;
     bool skipping_ = false;
     bool busy_ = false;
--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -6,6 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "entry/refusal.hpp"
+#include "entry/response_limits.hpp"
 #include "platform/message_codec.hpp"
 
 namespace bronzehub::entry {
@@ -20,8 +21,6 @@
 constexpr std::uint32_t max_connect_failures = 3;
 // Bytes that wait for a slow caller before its server is no longer read.
 constexpr std::size_t high_water_bytes = std::size_t{256} * 1024;
-// Whole responses beyond this size are an error of the backend server.
-constexpr std::size_t max_response_bytes = std::size_t{16} * 1024 * 1024;
 constexpr milliseconds store_retry{1000};
 constexpr milliseconds draining_retry{100};
 
@@ -33,6 +32,14 @@
 constexpr int gateway_timeout = 504;
 constexpr int first_server_error = 500;
 
+// Content-Type without its parameters.
+std::string media_type(const base::http_headers& headers) {
+    const auto type = base::find_header(headers, "Content-Type");
+    const std::string_view text = type ? *type : std::string_view();
+    const std::string_view bare = text.substr(0, text.find(';'));
+    return std::string(bare.substr(0, bare.find_last_not_of(' ') + 1));
+}
+
 }  // namespace
 
 call::call(call_environment& environment,
@@ -130,10 +137,21 @@
     if (!find_route() || !check_key()) {
         return false;
     }
+    // What was decided after an earlier attempt must hold for the new route.
+    if (response_started_ ? !may_resume()
+                          : may_have_run_ && !route_->repeatable()) {
+        respond_error(bad_gateway, "route changed");
+        return false;
+    }
     choose_service();
     return true;
 }
 
+bool call::may_resume() const {
+    return route_->resumable && relay_.can_resume() &&
+           route_->kind == fleet_state::route_kind::streaming;
+}
+
 void call::send(const fleet_state::backend_server& server) {
     if (!still_valid()) {
         return;
@@ -222,8 +240,18 @@
     if (now.facts.load) {
         environment_.status.on_report(now.server, *now.facts.load);
     }
-    now.is_stream = route_->kind == fleet_state::route_kind::streaming &&
-                    head.status == ok && now.facts.has_signature;
+    now.is_stream =
+        route_->kind == fleet_state::route_kind::streaming &&
+        head.status == ok && now.facts.has_signature &&
+        (!now.resumes || base::equal_header_names(media_type(head.headers),
+                                                  response_media_type_));
+    const response_outline outline{
+        now.is_stream, now.facts.has_signature,
+        now.facts.not_run || now.status == misdirected, head.body_bytes};
+    now.max_body_bytes = max_body_bytes(outline);
+    if (const std::string fault = check_head(outline); !fault.empty()) {
+        now.connection->fail_exchange(fault);
+    }
     return true;
 }
 
@@ -235,8 +263,10 @@
         relay_events(bytes);
         return;
     }
-    if (attempt_->body.size() + bytes.size() > max_response_bytes) {
-        attempt_->overflowed = true;
+    if (attempt_->body.size() + bytes.size() > attempt_->max_body_bytes) {
+        attempt_->body = {};  // The next attempt may have to wait.
+        attempt_->connection->fail_exchange(
+            body_over(attempt_->max_body_bytes));
         return;
     }
     attempt_->body.append(bytes);
@@ -244,6 +274,9 @@
 
 void call::relay_events(std::string_view bytes) {
     const std::string_view events = relay_.feed(bytes);
+    if (relay_.failed()) {
+        attempt_->connection->fail_exchange(relay_.failure());
+    }
     if (events.empty()) {
         return;
     }
@@ -253,6 +286,7 @@
         const auto now = environment_.loop.now();
         report_.first_byte_after_ms =
             duration_cast<milliseconds>(now - request_.arrived_at).count();
+        response_media_type_ = media_type(attempt_->headers);
         caller_->begin(attempt_->status, attempt_->headers);
     }
     if (place_number_) {
@@ -298,13 +332,13 @@
     }
     if (now.is_stream) {
         // A stream may properly end without an event.
-        return relay_.has_partial() || relay_.failed()
+        return relay_.has_partial() || relay_.failed() || relay_.is_behind()
                    ? attempt_end::broken
                    : attempt_end::stream_ended;
     }
     // A response without a signature was not made by the backend server.
-    return now.facts.has_signature && !now.overflowed ? attempt_end::answered
-                                                      : attempt_end::broken;
+    return now.facts.has_signature ? attempt_end::answered
+                                   : attempt_end::broken;
 }
 
 void call::on_end(exchange_end how, std::string_view reason) {
@@ -367,7 +401,7 @@
     facts.status = attempt_->status;
     facts.repeatable = route_->repeatable();
     facts.response_started = response_started_;
-    facts.resumable = route_->resumable;
+    facts.resumable = may_resume();
     facts.attempts_sent = attempts_sent_;
     facts.max_attempts = route_->max_attempts;
     facts.time_left = time_left() > base::duration(0);
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -84,7 +84,7 @@
         bool is_stream = false;
         // Goes on with a stream that another server began.
         bool resumes = false;
-        bool overflowed = false;
+        std::size_t max_body_bytes = 0;
     };
 
     bool find_route();
@@ -99,6 +99,8 @@
     place_request make_place_request(const fleet_state::backend_server& server,
                                      bool may_wait) const;
     bool still_valid();
+    // Whether the response that has begun may go on at another server.
+    bool may_resume() const;
     void send(const fleet_state::backend_server& server);
     bool on_head(const message_head& head);
     void on_body(std::string_view bytes);
@@ -145,6 +147,7 @@
     std::uint32_t attempts_sent_ = 0;
     std::uint32_t connect_failures_ = 0;
     bool response_started_ = false;
+    std::string response_media_type_;
     bool may_have_run_ = false;
     bool ended_ = false;
     call_report report_;
--- a/src/entry/event_relay.hpp
+++ b/src/entry/event_relay.hpp
@@ -25,21 +25,34 @@
     void restart();
 
     std::optional<std::uint64_t> last_id() const { return last_id_; }
+    // Whether another server can be told where the stream is to go on: only
+    // when the last event that was passed on has an id.
+    bool can_resume() const { return last_id_ && last_event_has_id_; }
+    // A server that started anew has not come as far as the one before it.
+    bool is_behind() const {
+        return run_last_id_ && last_id_ && *run_last_id_ < *last_id_;
+    }
     std::uint64_t events() const { return events_; }
     // An event has begun and not ended.
     bool has_partial() const { return !partial_.empty(); }
-    // An event was too large, or one is missing behind a restart.
-    bool failed() const { return failed_; }
+    // Why the stream can't go on from this server; empty if it can. What
+    // follows is dropped until `restart`.
+    std::string_view failure() const { return failure_; }
+    bool failed() const { return !failure_.empty(); }
 
 private:
     bool accept(std::string_view event);
+    void fail(std::string_view why);
 
     std::string partial_;
     std::string whole_;
     std::optional<std::uint64_t> last_id_;
     std::uint64_t events_ = 0;
     bool restarted_ = false;
-    bool failed_ = false;
+    bool last_event_has_id_ = false;
+    // Last id since the restart, of events that were left out too.
+    std::optional<std::uint64_t> run_last_id_;
+    std::string failure_;
 };
 
 // The id of an event, if it has a numeric one.
