--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -13,10 +13,17 @@
 
 SIGNATURE = "Bronzehub-Replica-Signature"
 REQUEST_ID = "Bronzehub-Attempt-Id"
+RESUME_AFTER = "Last-Event-Id"
+# A caller asks for events of this size.
+EVENT_BYTES = "Event-Bytes"
 
 
-async def read_message(reader):
-    """Reads one request or response; returns (first line, headers, body)."""
+async def read_message(reader, body=None, pause_s=0):
+    """Reads one request or response; returns (first line, headers, body).
+
+    The chunks of a body are added to `body`, which holds what was read if the
+    message is cut; `pause_s` is how long to wait before each one.
+    """
     head = await reader.readuntil(b"\r\n\r\n")
     lines = head.decode("latin-1").split("\r\n")
     headers = {}
@@ -24,9 +31,10 @@
         if line:
             name, _, value = line.partition(":")
             headers[name.strip().lower()] = value.strip()
-    body = b""
+    body = bytearray() if body is None else body
     if headers.get("transfer-encoding") == "chunked":
         while True:
+            await asyncio.sleep(pause_s)
             line = await reader.readline()
             if not line.endswith(b"\n"):
                 raise asyncio.IncompleteReadError(line, None)
@@ -36,8 +44,8 @@
                 break
             body += chunk[:-2]
     elif "content-length" in headers:
-        body = await reader.readexactly(int(headers["content-length"]))
-    return lines[0], headers, body
+        body += await reader.readexactly(int(headers["content-length"]))
+    return lines[0], headers, bytes(body)
 
 
 def response(status, headers=None, body=b""):
@@ -205,6 +213,10 @@
         return response(200, {"Content-Type": "application/json"}, text)
 
 
+# Statuses with which a backend server states that it did not run a request.
+REJECTIONS = {"shed": 503, "limited": 429, "misdirected": 421}
+
+
 class Replica(Listener):
     """A backend server whose behaviour a test chooses by `act`."""
 
@@ -219,11 +231,18 @@
         self.runs = []
         # Arrivals whose connection the other side closed before the end.
         self.abandoned = []
-        # What to do with a request: a name of a method `act_...`.
+        # (time, id, whether it resumed a stream, act) of each request, also of
+        # those that did not run.
+        self.acts = []
+        # What to do with a request: a key of REJECTIONS, or the name of a
+        # method `act_...` and its arguments.
         self.act = "answer"
-        # The same, one after the other, for requests that go on with a stream.
-        # Servers may share the list.
+        # Returns the act for a request that resumes a stream, or None: by
+        # default, the acts of a list one after the other. Servers may share it.
         self.acts_on_resume = []
+        self.choose_resumed_act = lambda: (
+            self.acts_on_resume.pop(0) if self.acts_on_resume else None
+        )
         self.error_status = 500
         # More than socket buffers hold.
         self.large_bytes = 12000000
@@ -271,17 +290,18 @@
             request_id = headers.get(REQUEST_ID.lower(), "")
             if headers.get("bronzehub-expected-replica") not in (None, self.name):
                 writer.write(response(421, {"Bronzehub-Replica-Id": self.name}))
-            elif self.act == "shed":
-                writer.write(
-                    response(503, {"Bronzehub-Not-Executed": 1, REQUEST_ID: request_id})
-                )
+                continue
+            resumed = RESUME_AFTER.lower() in headers
+            act = (resumed and self.choose_resumed_act()) or self.act
+            self.acts.append((time.monotonic(), request_id, resumed, act))
+            if act in REJECTIONS:
+                rejection = {"Bronzehub-Not-Executed": 1, REQUEST_ID: request_id}
+                writer.write(response(REJECTIONS[act], rejection))
             else:
                 self.runs.append((request_id, headers, body, line))
-                act = self.act
-                if "last-event-id" in headers and self.acts_on_resume:
-                    act = self.acts_on_resume.pop(0)
-                action = getattr(self, "act_" + act)
-                if not await action(reader, writer, request_id, headers):
+                name, *arguments = act.split(" ")
+                action = getattr(self, "act_" + name)
+                if not await action(reader, writer, request_id, headers, *arguments):
                     return
             await writer.drain()
 
@@ -298,9 +318,9 @@
         )
         return True
 
-    async def act_error(self, _reader, writer, request_id, _headers):
+    async def act_error(self, _reader, writer, request_id, _headers, status=None):
         headers = {REQUEST_ID: request_id, SIGNATURE: self.name}
-        writer.write(response(self.error_status, headers, b"error"))
+        writer.write(response(status or self.error_status, headers, b"error"))
         return True
 
     async def act_head(self, _reader, writer, request_id, _headers):
@@ -321,9 +341,22 @@
         writer.write(response(200, headers, self.document))
         return True
 
+    async def act_error_without_length(self, _reader, writer, request_id, _headers):
+        head = self.head(request_id, "\r\n").replace("200 OK", "500 X")
+        writer.write((head + "error").encode())
+        return False
+
+    async def act_empty(self, _reader, writer, request_id, _headers, status=200):
+        writer.write(response(status, {REQUEST_ID: request_id, SIGNATURE: self.name}))
+        return True
+
     async def act_drop(self, _reader, _writer, _request_id, _headers):
         return False
 
+    async def act_reset(self, _reader, writer, _request_id, _headers):
+        writer.transport.abort()
+        return False
+
     async def act_truncate(self, _reader, writer, request_id, _headers):
         writer.write(
             (self.head(request_id, "Content-Length: 10\r\n\r\n") + "half").encode()
@@ -432,36 +465,59 @@
             self.abandoned.append((request_id, time.monotonic()))
         return False
 
-    async def stream(self, writer, request_id, headers, events, cut_after=None):
+    def event(self, number, headers):
+        padding = "x" * int(headers.get(EVENT_BYTES.lower(), 0))
+        event = f"data: {number}.{self.name}{padding}\n\n"
+        if number <= self.ids_until:
+            event = f"id: {number}\n{event}"
+        return event.encode()
+
+    async def stream(self, writer, request_id, headers, first, last, end="whole"):
+        """Sends events; `end` tells what follows: whole, cut, close or reset."""
         extra = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         writer.write(self.head(request_id, extra).encode())
-        first = int(headers.get("last-event-id", 0)) + 1
-        for number in range(first, events + 1):
-            cut = cut_after is not None and number > cut_after
-            event = f"data: {number}.{self.name}\n\n".encode()
-            if number <= self.ids_until:
-                event = b"id: %d\n%s" % (number, event)
-            if cut:
-                await self.released.wait()
-                event = event[: len(event) // 2]
+        for number in range(first, last + 1):
+            event = self.event(number, headers)
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
-            if cut:
-                return False
             await asyncio.sleep(self.pause)
-        writer.write(b"0\r\n\r\n")
-        return True
+        if end == "whole":
+            writer.write(b"0\r\n\r\n")
+            return True
+        await self.released.wait()
+        if end == "cut":
+            event = self.event(max(first, last + 1), headers)
+            event = event[: len(event) // 2]
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+        elif end == "reset":
+            writer.transport.abort()
+        return False
 
     async def act_stream(self, _reader, writer, request_id, headers):
-        return await self.stream(writer, request_id, headers, self.events)
-
-    async def act_stream_cut(self, _reader, writer, request_id, headers):
-        return await self.stream(
-            writer, request_id, headers, self.events, self.cut_after
-        )
-
-    async def act_stream_anew(self, _reader, writer, request_id, _headers):
-        return await self.stream(writer, request_id, {}, self.anew_events)
+        first = int(headers.get(RESUME_AFTER.lower(), 0)) + 1
+        return await self.stream(writer, request_id, headers, first, self.events)
+
+    async def act_stream_cut(
+        self, _reader, writer, request_id, headers, last=None, end="cut"
+    ):
+        """Ends early, by default in the middle of the event after `cut_after`."""
+        first = int(headers.get(RESUME_AFTER.lower(), 0)) + 1
+        last = self.cut_after if last is None else int(last)
+        return await self.stream(writer, request_id, headers, first, last, end)
+
+    async def act_stream_anew(self, _reader, writer, request_id, headers, events=None):
+        last = int(events or self.anew_events)
+        return await self.stream(writer, request_id, headers, 1, last)
+
+    async def act_stream_gap(self, _reader, writer, request_id, headers):
+        """Resumes a stream one event too late."""
+        first = min(int(headers[RESUME_AFTER.lower()]) + 2, self.events)
+        return await self.stream(writer, request_id, headers, first, self.events)
+
+    async def act_stream_extra(self, reader, writer, request_id, headers):
+        await self.act_stream(reader, writer, request_id, headers)
+        return await self.act_error(reader, writer, request_id, headers)
 
 
 def configuration(version, routes, keys=("key-1",)):
