End a call whose response sends header fields without end

Cause: the backend client skipped trailer fields and put no limit of its own on heads. libcurl keeps every field that it parses, so a chunked response with endless trailers held its caller and grew the daemon until the backend server stopped. Each line also counted as activity, so the idle timeout of streams did not fire.

Ruled out, by rows of the new test on the code before the change: libcurl 7.88.1 of Debian 12 ends the call and closes the connection after 300 KiB of header fields, folded fields or interim responses, at a single field or trailer of about 100 KiB, at bytes without a status line and at an endless chunk size. Other versions have other limits, hence the client now has its own: 256 KiB of fields in a response, counted over interim responses, head and trailers.

Conclusion: such a response is broken at once, with its cause in the error, and its connection is closed.

--- a/src/backend_client/client_test.cpp
+++ b/src/backend_client/client_test.cpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "http_server/server.hpp"
+#include "support/endless_sender.hpp"
 #include "support/raw_socket.hpp"
 
 namespace bronzehub::backend_client {
@@ -271,6 +272,45 @@
     CHECK_FALSE(result.end_verified);
 }
 
+// Guards against a backend server that keeps a call, a connection and memory
+// for as long as it sends bytes that are no answer. libcurl itself ends some of
+// these calls, depending on its version.
+TEST_CASE("bytes without end that are no answer end the call as broken") {
+    const std::string chunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string last_chunk = chunked + "2\r\nok\r\n0\r\n";
+    const std::string own_limit = "the header fields exceed";
+    const auto [response, reason] =
+        GENERATE_COPY(table<test::endless_response, std::string>({
+            {{"fields", "HTTP/1.1 200 OK\r\n", "A: b\r\n"}, own_limit},
+            {{"long field", "HTTP/1.1 200 OK\r\nA: ", "b"}, ""},
+            {{"folded field", "HTTP/1.1 200 OK\r\nA: b\r\n", " c\r\n"},
+             own_limit},
+            {{"interim heads", "", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"},
+             own_limit},
+            {{"interim status", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+             own_limit},
+            {{"no status line", "", "x"}, ""},
+            {{"lines but no status line", "", "x\r\n"}, ""},
+            {{"empty lines", "", "\r\n"}, ""},
+            {{"trailer fields", last_chunk, "A: b\r\n"}, own_limit},
+            {{"long trailer field", last_chunk + "A: ", "b"}, ""},
+            {{"chunk size", chunked, "0"}, ""},
+        }));
+    CAPTURE(response.name);
+    test::endless_sender backend(response);
+    const auto sender = start_client();
+
+    const call_result result =
+        send_and_wait(*sender, {.address = address_of(backend.port())});
+
+    CHECK(result.kind == outcome::broken);
+    CHECK_FALSE(result.cancelled);
+    CHECK_FALSE(result.error.empty());
+    CHECK_THAT(result.error, Catch::Contains(reason));
+    CHECK(backend.was_closed_early());
+}
+
 // Guards against calls that hang on a silent or endless backend server.
 TEST_CASE("a call without progress ends by its timeouts") {
     constexpr auto limit = std::chrono::milliseconds(100);
--- a/src/backend_client/transfer.cpp
+++ b/src/backend_client/transfer.cpp
@@ -10,6 +10,12 @@
 namespace bronzehub::backend_client {
 namespace {
 
+// Bytes of all heads and trailers of a response, interim (1xx) ones included.
+// Below libcurl's own limit of 300 KiB, which depends on its version and
+// leaves out trailers; a server that reports progress by a short interim
+// response each second stays below it for two hours.
+constexpr std::size_t max_field_bytes = 256UL * 1024;
+
 bool is_token(std::string_view text) {
     return base::is_valid_header({std::string(text), ""});
 }
@@ -188,6 +194,11 @@
         return 0;
     }
     call.last_activity_ = call.clock_.now();
+    call.field_bytes_ += size * count;
+    if (call.field_bytes_ > max_field_bytes) {
+        return call.reject(absl::StrCat("the header fields exceed ",
+                                        max_field_bytes, " bytes"));
+    }
     call.handle_header_line({data, size * count});
     return size * count;
 }
@@ -241,6 +252,13 @@
     return size * count;
 }
 
+std::size_t transfer::reject(std::string_view reason) {
+    if (rejection_.empty()) {
+        rejection_ = reason;
+    }
+    return CURL_WRITEFUNC_ERROR;
+}
+
 void transfer::end(CURLcode code, std::string_view error) {
     const call_result result = judge(code, error);
     if (events_.on_end) {
@@ -277,8 +295,8 @@
     if (request_bytes == 0 && body_bytes == 0 && is_connect_failure(code)) {
         result.kind = outcome::not_sent;
     }
-    result.error = error;
-    if (error.empty()) {
+    result.error = rejection_.empty() ? error : std::string_view(rejection_);
+    if (result.error.empty()) {
         result.error = error_text_[0] != '\0' ? error_text_.data()
                                               : curl_easy_strerror(code);
     }
--- a/src/backend_client/transfer.hpp
+++ b/src/backend_client/transfer.hpp
@@ -6,6 +6,7 @@
 #include <curl/curl.h>
 
 #include <array>
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -41,6 +42,11 @@
     // Lets no event through but `end`.
     void cancel() { cancelled_ = true; }
 
+    // Ends the call as broken, because what arrives is no response that can be
+    // used; `reason` becomes its error. The present hook of curl must return
+    // the result: curl then closes the connection. The first reason stays.
+    std::size_t reject(std::string_view reason);
+
     // The time at which the call breaks unless bytes move before. Only valid
     // with an idle timeout.
     base::time_point idle_deadline();
@@ -78,11 +84,13 @@
     std::array<char, CURL_ERROR_SIZE> error_text_{};
 
     base::http_headers response_headers_;
+    std::size_t field_bytes_ = 0;
     int status_ = 0;
     bool headers_delivered_ = false;
 
     bool paused_ = false;
     bool cancelled_ = false;
+    std::string rejection_;  // Empty unless `reject` was called.
     base::time_point last_activity_;
     curl_off_t uploaded_ = 0;
 };
--- a/tests/support/raw_socket.hpp
+++ b/tests/support/raw_socket.hpp
@@ -72,8 +72,10 @@
         }
     }
 
-    void send(std::string_view bytes) const {
-        ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    // False when the peer has not taken all bytes; `errno` tells why.
+    bool send(std::string_view bytes) const {
+        return ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+               static_cast<ssize_t>(bytes.size());
     }
 
     // Reads up to and including `marker`; less at the end of the stream.
