End a call whose chunked body goes on without content

A backend server that never ends an extension held the call, and a processor, until it stopped; calls that are not streamed have no idle timeout. Only the socket tells how much was read: once the head has arrived, the client compares the socket's count of bytes read after each read that yielded neither content nor a field, and ends the call after 64 KiB.

Ruled out as well, by a trial: one subtraction of the bytes that wait from those received.

Before: backend_client_test "bytes without end*", row "chunk extension": the client took all 96 MiB that the test sends.

Conclusion: framing without content is bounded. A server that puts a byte of content between extensions of less than 64 KiB is still served.

--- a/src/backend_client/client_test.cpp
+++ b/src/backend_client/client_test.cpp
@@ -296,6 +296,8 @@
             {{"trailer fields", last_chunk, "A: b\r\n"}, own_limit},
             {{"long trailer field", last_chunk + "A: ", "b"}, ""},
             {{"chunk size", chunked, "0"}, ""},
+            {{"chunk extension", chunked + "2\r\nok\r\n2;", "x"},
+             "the framing of the body exceeds"},
         }));
     CAPTURE(response.name);
     test::endless_sender backend(response);
@@ -311,6 +313,26 @@
     CHECK(backend.was_closed_early());
 }
 
+// Guards against limits on useless bytes that count across useful ones.
+TEST_CASE("a body in many small chunks arrives whole") {
+    constexpr std::size_t chunks = 20'000;
+    std::string response =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (std::size_t i = 0; i < chunks; ++i) {
+        response += "1;name=value\r\nx\r\n";
+    }
+    response += "0\r\n\r\n";
+    const raw_listener backend;
+    const auto sender = start_client();
+    recorded_call record;
+    sender->send({.address = address_of(backend.port())}, record.events());
+    raw_socket peer = backend.accept();
+    peer.read_until("\r\n\r\n");
+    peer.send(response);
+    CHECK(record.result().kind == outcome::completed);
+    CHECK(record.body == std::string(chunks, 'x'));
+}
+
 // Guards against calls that hang on a silent or endless backend server.
 TEST_CASE("a call without progress ends by its timeouts") {
     constexpr auto limit = std::chrono::milliseconds(100);
--- a/src/backend_client/loop.cpp
+++ b/src/backend_client/loop.cpp
@@ -286,8 +286,15 @@
     }
 }
 
-int client::loop::on_socket(CURL* /*easy*/, curl_socket_t descriptor, int what,
+int client::loop::on_socket(CURL* easy, curl_socket_t descriptor, int what,
                             void* self, void* /*unused*/) {
+    // Null for a handle of curl's own, which closes idle connections.
+    transfer* call = nullptr;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &call);
+    if (call != nullptr) {
+        what == CURL_POLL_REMOVE ? call->forget_socket(descriptor)
+                                 : call->use_socket(descriptor);
+    }
     const int epoll = static_cast<loop*>(self)->epoll_.get();
     if (what == CURL_POLL_REMOVE) {
         epoll_ctl(epoll, EPOLL_CTL_DEL, descriptor, nullptr);
--- a/src/backend_client/transfer.cpp
+++ b/src/backend_client/transfer.cpp
@@ -1,5 +1,10 @@
 #include "backend_client/transfer.hpp"
 
+#include <linux/tcp.h>
+#include <netinet/in.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <charconv>
 #include <utility>
@@ -16,6 +21,11 @@
 // response each second stays below it for two hours.
 constexpr std::size_t max_field_bytes = 256UL * 1024;
 
+// Bytes of a chunked body that carry no content: the size lines, extensions
+// included, and what else curl reads between two pieces of content. Size lines
+// without extensions stay below 20 bytes.
+constexpr std::uint64_t max_framing_bytes = 64UL * 1024;
+
 bool is_token(std::string_view text) {
     return base::is_valid_header({std::string(text), ""});
 }
@@ -65,6 +75,35 @@
            code == CURLE_ABORTED_BY_CALLBACK;
 }
 
+// How many bytes were read from a connected TCP socket since it was opened.
+// Bounds, because more may arrive between the system calls.
+struct read_bounds {
+    std::uint64_t least = 0;
+    std::uint64_t most = 0;
+};
+
+std::optional<std::uint64_t> bytes_received_by(curl_socket_t descriptor) {
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    if (getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+        return std::nullopt;
+    }
+    return info.tcpi_bytes_received;
+}
+
+std::optional<read_bounds> bytes_read_from(curl_socket_t descriptor) {
+    const auto before = bytes_received_by(descriptor);
+    int unread = 0;
+    const bool known = ioctl(descriptor, FIONREAD, &unread) == 0;
+    const auto after = bytes_received_by(descriptor);
+    if (!before || !known || !after) {
+        return std::nullopt;
+    }
+    const auto waiting = static_cast<std::uint64_t>(unread);
+    return read_bounds{*before - std::min(*before, waiting),
+                       *after - std::min(*after, waiting)};
+}
+
 }  // namespace
 
 bool is_sendable(const backend_request& request) {
@@ -92,6 +131,9 @@
     set(easy, CURLOPT_HEADERDATA, this);
     set(easy, CURLOPT_WRITEFUNCTION, &transfer::on_body_bytes);
     set(easy, CURLOPT_WRITEDATA, this);
+    set(easy, CURLOPT_XFERINFOFUNCTION, &transfer::on_progress);
+    set(easy, CURLOPT_XFERINFODATA, this);
+    set(easy, CURLOPT_NOPROGRESS, 0L);
     configure_connection();
     configure_method();
     configure_headers();
@@ -174,6 +216,12 @@
     return std::exchange(paused_, false);
 }
 
+void transfer::forget_socket(curl_socket_t descriptor) {
+    if (socket_ == descriptor) {
+        socket_ = CURL_SOCKET_BAD;
+    }
+}
+
 bool transfer::has_idle_timeout() const {
     return request_.idle_timeout.count() > 0;
 }
@@ -194,6 +242,7 @@
         return 0;
     }
     call.last_activity_ = call.clock_.now();
+    call.framing_start_.reset();
     call.field_bytes_ += size * count;
     if (call.field_bytes_ > max_field_bytes) {
         return call.reject(absl::StrCat("the header fields exceed ",
@@ -246,12 +295,39 @@
         return CURL_WRITEFUNC_PAUSE;
     }
     call.last_activity_ = call.clock_.now();
+    call.framing_start_.reset();
     if (call.events_.on_body) {
         call.events_.on_body({data, size * count});
     }
     return size * count;
 }
 
+// curl calls this after each read, whether or not another hook was called.
+int transfer::on_progress(void* self, curl_off_t, curl_off_t, curl_off_t,
+                          curl_off_t) {
+    auto& call = *static_cast<transfer*>(self);
+    if (call.headers_delivered_ && call.reads_only_framing()) {
+        call.reject(absl::StrCat("the framing of the body exceeds ",
+                                 max_framing_bytes, " bytes"));
+        return 1;
+    }
+    return 0;
+}
+
+// curl shows chunk extensions to no hook and counts them nowhere, so that only
+// the socket tells how much it read.
+bool transfer::reads_only_framing() {
+    if (paused_ || socket_ == CURL_SOCKET_BAD) {
+        return false;
+    }
+    const auto total = bytes_read_from(socket_);
+    if (!total) {
+        return false;
+    }
+    framing_start_ = framing_start_.value_or(total->most);
+    return total->least > *framing_start_ + max_framing_bytes;
+}
+
 std::size_t transfer::reject(std::string_view reason) {
     if (rejection_.empty()) {
         rejection_ = reason;
--- a/src/backend_client/transfer.hpp
+++ b/src/backend_client/transfer.hpp
@@ -7,7 +7,9 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -39,12 +41,18 @@
     // Returns false when the call was not paused.
     bool resume();
 
+    // Tell which socket the call waits for. While several addresses are tried,
+    // the one that connected is named last.
+    void use_socket(curl_socket_t descriptor) { socket_ = descriptor; }
+    void forget_socket(curl_socket_t descriptor);
+
     // Lets no event through but `end`.
     void cancel() { cancelled_ = true; }
 
     // Ends the call as broken, because what arrives is no response that can be
-    // used; `reason` becomes its error. The present hook of curl must return
-    // the result: curl then closes the connection. The first reason stays.
+    // used; `reason` becomes its error. The present hook of curl must fail (a
+    // header or body hook by returning the result): curl then closes the
+    // connection. The first reason stays.
     std::size_t reject(std::string_view reason);
 
     // The time at which the call breaks unless bytes move before. Only valid
@@ -60,6 +68,8 @@
                                       std::size_t count, void* self);
     static std::size_t on_body_bytes(char* data, std::size_t size,
                                      std::size_t count, void* self);
+    static int on_progress(void* self, curl_off_t, curl_off_t, curl_off_t,
+                           curl_off_t);
 
     void configure();
     void configure_connection();
@@ -68,6 +78,7 @@
     void append_header(const std::string& line);
     void handle_header_line(std::string_view line);
     void finish_headers();
+    bool reads_only_framing();
     bool is_end_verified() const;
     call_result judge(CURLcode code, std::string_view error) const;
 
@@ -85,9 +96,13 @@
 
     base::http_headers response_headers_;
     std::size_t field_bytes_ = 0;
+    // What the socket had yielded when `on_progress` first found it without a
+    // byte of content or fields since the last one.
+    std::optional<std::uint64_t> framing_start_;
     int status_ = 0;
     bool headers_delivered_ = false;
 
+    curl_socket_t socket_ = CURL_SOCKET_BAD;
     bool paused_ = false;
     bool cancelled_ = false;
     std::string rejection_;  // Empty unless `reject` was called.
