End a call whose server switches to another protocol unasked

Cause: curl takes what follows a status of 101 for a body and reads to the end of the connection. The client passed these bytes on without a head and reported the call as completed, so that a caller got a response with status 0, after any number of bytes.

Before: backend_client_test "bytes without end*", row "other protocol": all 96 MiB taken, outcome "completed" without an error. After: the row passes; the call is broken at the first such byte.

Conclusion: body bytes reach a caller only behind a final head.

--- a/src/backend_client/client_test.cpp
+++ b/src/backend_client/client_test.cpp
@@ -280,25 +280,25 @@
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     const std::string last_chunk = chunked + "2\r\nok\r\n0\r\n";
     const std::string own_limit = "the header fields exceed";
-    const auto [response, reason] =
-        GENERATE_COPY(table<test::endless_response, std::string>({
-            {{"fields", "HTTP/1.1 200 OK\r\n", "A: b\r\n"}, own_limit},
-            {{"long field", "HTTP/1.1 200 OK\r\nA: ", "b"}, ""},
-            {{"folded field", "HTTP/1.1 200 OK\r\nA: b\r\n", " c\r\n"},
-             own_limit},
-            {{"interim heads", "", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"},
-             own_limit},
-            {{"interim status", "", "HTTP/1.1 100 Continue\r\n\r\n"},
-             own_limit},
-            {{"no status line", "", "x"}, ""},
-            {{"lines but no status line", "", "x\r\n"}, ""},
-            {{"empty lines", "", "\r\n"}, ""},
-            {{"trailer fields", last_chunk, "A: b\r\n"}, own_limit},
-            {{"long trailer field", last_chunk + "A: ", "b"}, ""},
-            {{"chunk size", chunked, "0"}, ""},
-            {{"chunk extension", chunked + "2\r\nok\r\n2;", "x"},
-             "the framing of the body exceeds"},
-        }));
+    const auto [response, reason] = GENERATE_COPY(table<test::endless_response,
+                                                        std::string>({
+        {{"fields", "HTTP/1.1 200 OK\r\n", "A: b\r\n"}, own_limit},
+        {{"long field", "HTTP/1.1 200 OK\r\nA: ", "b"}, ""},
+        {{"folded field", "HTTP/1.1 200 OK\r\nA: b\r\n", " c\r\n"}, own_limit},
+        {{"interim heads", "", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"},
+         own_limit},
+        {{"interim status", "", "HTTP/1.1 100 Continue\r\n\r\n"}, own_limit},
+        {{"no status line", "", "x"}, ""},
+        {{"lines but no status line", "", "x\r\n"}, ""},
+        {{"empty lines", "", "\r\n"}, ""},
+        {{"trailer fields", last_chunk, "A: b\r\n"}, own_limit},
+        {{"long trailer field", last_chunk + "A: ", "b"}, ""},
+        {{"chunk size", chunked, "0"}, ""},
+        {{"chunk extension", chunked + "2\r\nok\r\n2;", "x"},
+         "the framing of the body exceeds"},
+        {{"other protocol", "HTTP/1.1 101 Switching Protocols\r\n\r\n", "x"},
+         "without a final head"},
+    }));
     CAPTURE(response.name);
     test::endless_sender backend(response);
     const auto sender = start_client();
--- a/src/backend_client/transfer.cpp
+++ b/src/backend_client/transfer.cpp
@@ -291,6 +291,10 @@
     if (call.cancelled_) {
         return 0;
     }
+    if (!call.headers_delivered_) {
+        // curl takes what follows a status of 101 for a body.
+        return call.reject("the body came without a final head");
+    }
     if (call.paused_) {
         return CURL_WRITEFUNC_PAUSE;
     }
