End an attempt at once when its response cannot be used

Cause: the relay noticed an event above the size limit, and a long error response to a resumed stream, but had no way to end the transfer. It read on until the backend server stopped; the splitter kept every byte of the event meanwhile and searched all of them again at each read. The hook for body bytes now returns a status: an error ends the call as broken with its message, and libcurl closes the connection. This holds from the first byte on, while a handle for `cancel` is known only after `send` has returned.

Ruled out: back pressure. Long responses that may be passed on still arrive whole (32 MiB, new test).

Conclusion: the caller hears at once what it heard at the end before: a retry, a refusal "unknown" or an aborted stream.

--- a/bench/path/path_echo.cpp
+++ b/bench/path/path_echo.cpp
@@ -55,6 +55,7 @@
         };
         events.on_body = [received](std::span<const char> bytes) {
             received->body.append(bytes.data(), bytes.size());
+            return absl::OkStatus();
         };
         events.on_end = [received, writer](const backend::call_result& result) {
             const bool whole = result.kind == backend::outcome::completed;
--- a/src/backend_client/client.hpp
+++ b/src/backend_client/client.hpp
@@ -17,6 +17,7 @@
 #include <span>
 #include <string>
 
+#include "absl/status/status.h"
 #include "absl/status/statusor.h"
 #include "base/http_header.hpp"
 
@@ -73,8 +74,10 @@
     // At most once, before `on_body`. Interim (1xx) responses are left out.
     std::function<void(int status, const base::http_headers&)> on_headers =
         nullptr;
-    // The bytes are valid during the call only.
-    std::function<void(std::span<const char>)> on_body = nullptr;
+    // The bytes are valid during the call only. An error says that the response
+    // cannot be used: the call ends as broken at once, with its message, and
+    // the connection is closed.
+    std::function<absl::Status(std::span<const char>)> on_body = nullptr;
     // Exactly once, as the last event.
     std::function<void(const call_result&)> on_end = nullptr;
 };
--- a/src/backend_client/client_test.cpp
+++ b/src/backend_client/client_test.cpp
@@ -56,6 +56,7 @@
             .on_body =
                 [this](std::span<const char> bytes) {
                     body.append(bytes.data(), bytes.size());
+                    return absl::OkStatus();
                 },
             .on_end =
                 [this](const call_result& result) { ended.set_value(result); }};
@@ -313,6 +314,22 @@
     CHECK(backend.was_closed_early());
 }
 
+// Guards against an unusable response that is read to its end, and against an
+// error that hides why it was given up.
+TEST_CASE("a body that its reader refuses ends the call as broken") {
+    test::endless_sender backend({"body", "HTTP/1.1 200 OK\r\n\r\n", "x"});
+    const auto sender = start_client();
+    recorded_call record;
+    backend_events events = record.events();
+    events.on_body = [](auto) { return absl::DataLossError("no use"); };
+    sender->send({.address = address_of(backend.port())}, std::move(events));
+    const call_result result = record.result();
+    CHECK(result.kind == outcome::broken);
+    CHECK_FALSE(result.cancelled);
+    CHECK(result.error == "no use");
+    CHECK(backend.was_closed_early());
+}
+
 // Guards against limits on useless bytes that count across useful ones.
 TEST_CASE("a body in many small chunks arrives whole") {
     constexpr std::size_t chunks = 20'000;
--- a/src/backend_client/transfer.cpp
+++ b/src/backend_client/transfer.cpp
@@ -300,8 +300,12 @@
     }
     call.last_activity_ = call.clock_.now();
     call.framing_start_.reset();
-    if (call.events_.on_body) {
-        call.events_.on_body({data, size * count});
+    const absl::Status taken = call.events_.on_body
+                                   ? call.events_.on_body({data, size * count})
+                                   : absl::OkStatus();
+    if (!taken.ok()) {
+        const absl::string_view reason = taken.message();
+        return call.reject({reason.data(), reason.size()});
     }
     return size * count;
 }
--- a/src/calls/call_manager_test.cpp
+++ b/src/calls/call_manager_test.cpp
@@ -2,9 +2,13 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <condition_variable>
 #include <deque>
+#include <mutex>
 #include <vector>
 
+#include "support/endless_sender.hpp"
+
 namespace bronzehub::calls {
 namespace {
 
@@ -63,8 +67,38 @@
     "data: [DONE]\n\n";
 constexpr std::size_t event_bytes = 15;
 
+// Carries functions from the client's thread to that of the test.
+class posted_functions {
+public:
+    void post(std::function<void()> function) {
+        const std::scoped_lock lock(mutex_);
+        posted_.push_back(std::move(function));
+        changed_.notify_one();
+    }
+
+    // False when none came in time.
+    bool run_one() {
+        std::unique_lock lock(mutex_);
+        if (!changed_.wait_for(lock, test::patience,
+                               [this] { return !posted_.empty(); })) {
+            return false;
+        }
+        const auto run = std::move(posted_.front());
+        posted_.pop_front();
+        lock.unlock();
+        run();
+        return true;
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::deque<std::function<void()>> posted_;
+};
+
 // A call manager with fakes for dispatch, claims and transfers. Each start
-// takes the next fate; a call without one left stays running.
+// takes the next fate; a call without one left stays waiting, or is sent to a
+// real backend server when there is one.
 class bench {
 public:
     bench() : manager_({}, time_.view(), claims(), schedule(), transfers()) {}
@@ -76,9 +110,26 @@
         return writer;
     }
 
+    // Sends calls without a fate to a server on loopback.
+    void use_server(std::uint16_t port) {
+        address_ = "127.0.0.1:" + std::to_string(port);
+        client_ = *backend_client::client::start();
+    }
+
+    // Runs until all calls have ended; false when they do not.
+    bool run_to_end() {
+        while (manager_.active() > 0) {
+            if (!posted_.run_one()) {
+                return false;
+            }
+            run();
+        }
+        return true;
+    }
+
     // Starts every waiting call until none waits or the fates run out.
     void run() {
-        while (!waiting_.empty() && !fates_.empty()) {
+        while (!waiting_.empty() && (!fates_.empty() || client_)) {
             const call_id id = waiting_.front();
             waiting_.pop_front();
             manager_.start(id, base::backend_server_id(1));
@@ -148,6 +199,9 @@
                        const backend_client::backend_events& events) {
                     sent_.push_back(request);
                     running_ = events;
+                    if (fates_.empty()) {
+                        return client_->send(request, events);
+                    }
                     const attempt_fate fate = fates_.front();
                     fates_.pop_front();
                     play(fate, request, events);
@@ -156,11 +210,11 @@
             .cancel = [](backend_client::handle) {},
             .pause = [](backend_client::handle) {},
             .resume = [](backend_client::handle) {},
-            .address_of =
-                [](base::backend_server_id) {
-                    return std::string("127.0.0.1:1");
+            .address_of = [this](base::backend_server_id) { return address_; },
+            .post =
+                [this](const std::function<void()>& task) {
+                    client_ ? posted_.post(task) : task();
                 },
-            .post = [](const std::function<void()>& task) { task(); },
         };
     }
 
@@ -180,7 +234,7 @@
             {"Content-Type", stream ? "text/event-stream" : "text/plain"}};
         const auto send = [&](std::size_t bytes) {
             events.on_headers(200, headers);
-            events.on_body(std::span(body).first(bytes));
+            REQUIRE(events.on_body(std::span(body).first(bytes)).ok());
         };
         switch (fate) {
             case attempt_fate::answers:
@@ -206,8 +260,12 @@
         }
     }
 
+    std::string address_ = "127.0.0.1:1";
+    posted_functions posted_;
     call_manager manager_;
     call_id next_id_ = 1;
+    // Last: its transfers use the other members.
+    std::unique_ptr<backend_client::client> client_;
 };
 
 enum class call_class { payment, keyed_payment, lookup, chat, stream };
@@ -429,5 +487,61 @@
     CHECK(fleet.manager().active() == 1);
 }
 
+constexpr std::string_view stream_head =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+
+// What the caller sees of a response that does not end.
+enum class seen { refusal, abort, end };
+
+// Guards against a caller that waits, and memory that grows, for as long as a
+// backend server sends bytes that cannot be passed on.
+TEST_CASE("an endless response that is no answer ends its attempt") {
+    struct row {
+        test::endless_response response;
+        bool resumed;  // The first attempt broke inside the stream.
+        seen expected;
+    };
+    const std::string head(stream_head);
+    const auto expected = GENERATE_COPY(values<row>({
+        {{"error response", "HTTP/1.1 503 Busy\r\n\r\n", "x"},
+         true,
+         seen::abort},
+        {{"event", head + "data: ", "x"}, false, seen::refusal},
+    }));
+    CAPTURE(expected.response.name, expected.resumed);
+    test::endless_sender server(expected.response);
+    bench fleet;
+    fleet.retry_budget_ = expected.resumed ? 1 : 0;
+    if (expected.resumed) {
+        fleet.fates_ = {attempt_fate::breaks_in_body};
+    }
+    fleet.use_server(server.port());
+
+    const auto writer = fleet.admit(make_call(call_class::stream));
+
+    CHECK(fleet.run_to_end());
+    CHECK(server.was_closed_early());
+    CHECK(writer->aborted == (expected.expected == seen::abort));
+    CHECK((writer->status == 502) == (expected.expected == seen::refusal));
+    CHECK(writer->looks_whole() == (expected.expected != seen::abort));
+}
+
+// Guards against limits on useless responses that stop useful ones.
+TEST_CASE("a long response is passed through whole") {
+    constexpr std::size_t size = 32UL << 20U;
+    const test::raw_listener server;
+    bench fleet;
+    fleet.use_server(server.port());
+    const auto writer = fleet.admit(make_call(call_class::chat));
+    test::raw_socket peer = server.accept();
+    peer.read_until("\r\n\r\n");
+    peer.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size) +
+              "\r\n\r\n");
+    peer.send(std::string(size, 'x'));
+    CHECK(fleet.run_to_end());
+    CHECK(writer->body == std::string(size, 'x'));
+    CHECK(writer->looks_whole());
+}
+
 }  // namespace
 }  // namespace bronzehub::calls
--- a/src/calls/response_relay.cpp
+++ b/src/calls/response_relay.cpp
@@ -36,7 +36,9 @@
                 self->on_headers(status, headers);
             },
         .on_body =
-            [self](std::span<const char> bytes) { self->on_body(bytes); },
+            [self](std::span<const char> bytes) {
+                return self->on_body(bytes);
+            },
         .on_end =
             [self](const backend_client::call_result& result) {
                 self->on_end(result);
@@ -58,18 +60,15 @@
     result_.streamed = passing_ && options_.event_stream;
 }
 
-void response_relay::on_body(std::span<const char> bytes) {
+absl::Status response_relay::on_body(std::span<const char> bytes) {
     const std::scoped_lock lock(mutex_);
     if (detached_) {
-        return;
+        return absl::OkStatus();
     }
     if (result_.streamed) {
-        pass_events(bytes);
-    } else if (passing_) {
-        pass_bytes(bytes);
-    } else {
-        collect(bytes);
+        return pass_events(bytes);
     }
+    return passing_ ? pass_bytes(bytes) : collect(bytes);
 }
 
 void response_relay::start_caller() {
@@ -81,37 +80,38 @@
                    response_headers(result_.headers, options_.request_id));
 }
 
-void response_relay::pass_events(std::span<const char> bytes) {
+absl::Status response_relay::pass_events(std::span<const char> bytes) {
     const std::string_view whole = splitter_.feed(bytes);
-    overflowed_ = overflowed_ || splitter_.overflowed();
-    if (whole.empty() || overflowed_) {
-        return;
+    if (!whole.empty()) {
+        start_caller();
+        writer_->write(whole);
+        delivered_.store(options_.delivered_events + splitter_.events());
+        apply_back_pressure();
     }
-    start_caller();
-    writer_->write(whole);
-    delivered_.store(options_.delivered_events + splitter_.events());
-    apply_back_pressure();
+    return splitter_.overflowed()
+               ? absl::DataLossError("an event exceeds the size limit")
+               : absl::OkStatus();
 }
 
-void response_relay::pass_bytes(std::span<const char> bytes) {
+absl::Status response_relay::pass_bytes(std::span<const char> bytes) {
     start_caller();
     writer_->write({bytes.data(), bytes.size()});
     apply_back_pressure();
+    return absl::OkStatus();
 }
 
-void response_relay::collect(std::span<const char> bytes) {
+absl::Status response_relay::collect(std::span<const char> bytes) {
     if (result_.body.size() + bytes.size() <= options_.collect_bytes) {
         result_.body.append(bytes.data(), bytes.size());
-        return;
+        return absl::OkStatus();
     }
     if (options_.already_started) {
-        overflowed_ = true;  // Not a continuation of the caller's stream.
-        return;
+        return absl::DataLossError(
+            "a long response is no continuation of the caller's stream");
     }
     passing_ = true;
-    const std::string collected = std::exchange(result_.body, {});
-    pass_bytes(collected);
-    pass_bytes(bytes);
+    result_.body.append(bytes.data(), bytes.size());
+    return pass_bytes(std::exchange(result_.body, {}));
 }
 
 void response_relay::apply_back_pressure() {
@@ -130,11 +130,8 @@
     ended.events = delivered_.load();
     ended.last_event = std::string(splitter_.last_event());
     ended.total = clock_.now() - sent_at_;
-    if (overflowed_) {
-        ended.kind = backend_client::outcome::broken;
-        ended.error = "an event or response exceeded the size limit";
-    } else if (ended.kind == backend_client::outcome::completed &&
-               !result.end_verified && !ended.done) {
+    if (ended.kind == backend_client::outcome::completed &&
+        !result.end_verified && !ended.done) {
         // Only the end of the connection marked the end of the response, so it
         // may have been cut off.
         ended.kind = backend_client::outcome::broken;
--- a/src/calls/response_relay.hpp
+++ b/src/calls/response_relay.hpp
@@ -15,6 +15,7 @@
 #include <span>
 #include <string>
 
+#include "absl/status/status.h"
 #include "backend_client/client.hpp"
 #include "base/clock.hpp"
 #include "calls/event_splitter.hpp"
@@ -80,12 +81,12 @@
 
 private:
     void on_headers(int status, const base::http_headers& headers);
-    void on_body(std::span<const char> bytes);
+    absl::Status on_body(std::span<const char> bytes);
     void on_end(const backend_client::call_result& result);
     void start_caller();
-    void pass_events(std::span<const char> bytes);
-    void pass_bytes(std::span<const char> bytes);
-    void collect(std::span<const char> bytes);
+    absl::Status pass_events(std::span<const char> bytes);
+    absl::Status pass_bytes(std::span<const char> bytes);
+    absl::Status collect(std::span<const char> bytes);
     void apply_back_pressure();
 
     relay_options options_;
@@ -102,7 +103,6 @@
     attempt_result result_;
     event_splitter splitter_;
     bool passing_ = false;
-    bool overflowed_ = false;
 
     std::atomic<std::uint64_t> delivered_;
 };
