End a stream that goes on without events, and find its events in linear time

Cause: the limit of 1 MiB counted the bytes of one event only. A stream of comments or empty lines, or of anything behind its final event, was relayed for as long as the backend server sent it. The splitter also searched the whole unfinished event again for each piece that arrived, so that an event in small chunks kept the client's thread from its other calls. It now counts all bytes since the last event, and searches only what is new.

Conclusion: a stream that has its final event still ends whole for the caller; another one is resumed or aborted.

--- a/src/calls/call_manager_test.cpp
+++ b/src/calls/call_manager_test.cpp
@@ -507,6 +507,17 @@
          true,
          seen::abort},
         {{"event", head + "data: ", "x"}, false, seen::refusal},
+        {{"event in small chunks",
+          "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n",
+          "1\r\nx\r\n"},
+         false,
+         seen::refusal},
+        {{"comments", head, ": ping\n\n"}, false, seen::abort},
+        {{"empty lines", head, "\n"}, false, seen::abort},
+        {{"events after the last", head + "data: [DONE]\n\n", "data: 1\n\n"},
+         false,
+         seen::end},
     }));
     CAPTURE(expected.response.name, expected.resumed);
     test::endless_sender server(expected.response);
--- a/src/calls/event_splitter.cpp
+++ b/src/calls/event_splitter.cpp
@@ -1,5 +1,8 @@
 #include "calls/event_splitter.hpp"
 
+#include <algorithm>
+#include <ranges>
+
 namespace bronzehub::calls {
 namespace {
 
@@ -7,21 +10,28 @@
 constexpr std::string_view data_prefix = "data: ";
 constexpr std::string_view done_event = "data: [DONE]";
 
+// True when no line has a field.
+bool is_comment(std::string_view event) {
+    return std::ranges::all_of(std::views::split(event, '\n'), [](auto line) {
+        return line.empty() || line.front() == ':';
+    });
+}
+
 }  // namespace
 
 std::string_view event_splitter::feed(std::span<const char> bytes) {
     // The separator may straddle the old and the new bytes.
     const std::size_t search_from = partial_.empty() ? 0 : partial_.size() - 1;
     partial_.append(bytes.data(), bytes.size());
-    const std::size_t last = partial_.rfind(separator);
-    if (last == std::string::npos || last < search_from) {
+    const std::size_t last =
+        std::string_view(partial_).substr(search_from).rfind(separator);
+    if (last == std::string_view::npos) {
         overflowed_ = overflowed_ || partial_.size() > max_event_bytes;
         return {};
     }
-    const std::size_t end = last + separator.size();
+    const std::size_t end = search_from + last + separator.size();
     whole_.assign(partial_, 0, end);
     partial_.erase(0, end);
-    overflowed_ = overflowed_ || partial_.size() > max_event_bytes;
 
     std::string_view rest = whole_;
     while (!rest.empty()) {
@@ -29,10 +39,15 @@
         count_event(rest.substr(0, size));
         rest.remove_prefix(size + separator.size());
     }
+    overflowed_ = overflowed_ || useless_bytes_ > max_event_bytes ||
+                  partial_.size() > max_event_bytes;
     return whole_;
 }
 
 void event_splitter::count_event(std::string_view event) {
+    const bool useless = done_ || is_comment(event);
+    useless_bytes_ =
+        useless ? useless_bytes_ + event.size() + separator.size() : 0;
     if (event == done_event) {
         done_ = true;
     } else if (event.starts_with(data_prefix)) {
--- a/src/calls/event_splitter.hpp
+++ b/src/calls/event_splitter.hpp
@@ -15,7 +15,10 @@
 // Not thread-safe; belongs to the thread that reads the stream.
 class event_splitter {
 public:
-    // Events larger than this are an error of the backend server.
+    // Events larger than this are an error of the backend server, and so are
+    // more bytes than this without an event: comments and empty lines, or
+    // anything behind the final `[DONE]`. A comment of 20 bytes each second,
+    // to keep a connection alive, stays below it for half a day.
     static constexpr std::size_t max_event_bytes = 1024UL * 1024;
 
     // Adds bytes and returns the whole events that are now complete, with
@@ -29,7 +32,7 @@
     // Whether the final `data: [DONE]` event was seen.
     bool done() const { return done_; }
 
-    // Whether an event exceeded `max_event_bytes`; the stream is unusable.
+    // Whether `max_event_bytes` was exceeded; the stream is unusable.
     bool overflowed() const { return overflowed_; }
 
     // The last data event before `[DONE]`, which carries the usage figures.
@@ -42,6 +45,7 @@
     std::string partial_;
     std::string last_event_;
     std::uint64_t events_ = 0;
+    std::size_t useless_bytes_ = 0;  // Since the last event.
     bool done_ = false;
     bool overflowed_ = false;
 };
--- a/src/calls/response_relay.cpp
+++ b/src/calls/response_relay.cpp
@@ -89,7 +89,8 @@
         apply_back_pressure();
     }
     return splitter_.overflowed()
-               ? absl::DataLossError("an event exceeds the size limit")
+               ? absl::DataLossError(
+                     "the stream exceeds the limit of bytes for one event")
                : absl::OkStatus();
 }
 
