End an endless response to a call whose caller has left

Cause: a call that must not be cancelled runs on after its caller left, so that its end can be recorded. A response above the collection limit is passed through instead; the closed connection takes every byte at once, so that nothing held back a backend server that sends without end, and the call, its slot and a processor stayed busy. The relay now ends such a call as broken after 16 MiB.

Conclusion: the outcome is "unknown", as for a response that broke off. A server that sends nothing further, or a few bytes now and then, still holds such a call without a limit in time.

--- a/src/calls/call_manager.cpp
+++ b/src/calls/call_manager.cpp
@@ -439,6 +439,7 @@
         // Cancelling could leave the call half done; its end is recorded for
         // the idempotency key.
         target->step = call_step::detached;
+        target->relay->caller_left();
         return;
     }
     if (target->step == call_step::sent) {
--- a/src/calls/call_manager_test.cpp
+++ b/src/calls/call_manager_test.cpp
@@ -537,6 +537,29 @@
     CHECK(writer->looks_whole() == (expected.expected != seen::abort));
 }
 
+// Guards against reading a body without end for a caller that has left: a call
+// that must not be cancelled runs on, and nothing takes its bytes.
+TEST_CASE("a call whose caller left ends when its response does not") {
+    const auto kind = GENERATE(call_class::payment, call_class::keyed_payment);
+    // Enough for some seconds, in which the test notices that the caller left.
+    constexpr std::size_t server_bytes = 4UL << 30U;
+    test::endless_sender server({"body", "HTTP/1.1 200 OK\r\n\r\n", "x"},
+                                server_bytes);
+    bench fleet;
+    fleet.use_server(server.port());
+    const auto writer = fleet.admit(make_call(kind));
+
+    writer->close();
+
+    CHECK(fleet.run_to_end());
+    CHECK(server.was_closed_early());
+    REQUIRE(fleet.finished_.size() == 1);
+    CHECK(fleet.finished_[0].outcome == call_outcome::unknown);
+    CHECK(fleet.claim_log_ == (kind == call_class::keyed_payment
+                                   ? std::vector<std::string>{"unknown"}
+                                   : std::vector<std::string>()));
+}
+
 // Guards against limits on useless responses that stop useful ones.
 TEST_CASE("a long response is passed through whole") {
     constexpr std::size_t size = 32UL << 20U;
--- a/src/calls/response_relay.cpp
+++ b/src/calls/response_relay.cpp
@@ -65,10 +65,21 @@
     if (detached_) {
         return absl::OkStatus();
     }
-    if (result_.streamed) {
-        return pass_events(bytes);
+    if (!passing_) {
+        return collect(bytes);
     }
-    return passing_ ? pass_bytes(bytes) : collect(bytes);
+    absl::Status counted = count_unread(bytes.size());
+    if (!counted.ok()) {
+        return counted;
+    }
+    return result_.streamed ? pass_events(bytes) : pass_bytes(bytes);
+}
+
+absl::Status response_relay::count_unread(std::size_t bytes) {
+    unread_bytes_ += caller_left_ ? bytes : 0;
+    return unread_bytes_ > max_unread_bytes
+               ? absl::DataLossError("the response goes on without its caller")
+               : absl::OkStatus();
 }
 
 void response_relay::start_caller() {
--- a/src/calls/response_relay.hpp
+++ b/src/calls/response_relay.hpp
@@ -39,6 +39,10 @@
     base::duration total{};
 };
 
+// A call that must not be cancelled has usually ended long before its response
+// gets this long: four times the default of `limits.answer_bytes`.
+inline constexpr std::size_t max_unread_bytes = 16UL * 1024 * 1024;
+
 struct relay_options {
     std::string request_id;
     // An earlier attempt has sent the head and `delivered_events` events.
@@ -76,6 +80,10 @@
     // dropped. Returns after a write in progress has ended.
     void detach();
 
+    // The caller left, and the attempt runs on to its recorded end. A response
+    // that is passed through ends it after `max_unread_bytes`. Thread-safe.
+    void caller_left() { caller_left_ = true; }
+
     // Events passed to the caller by all attempts. Thread-safe.
     std::uint64_t delivered_events() const { return delivered_.load(); }
 
@@ -83,6 +91,7 @@
     void on_headers(int status, const base::http_headers& headers);
     absl::Status on_body(std::span<const char> bytes);
     void on_end(const backend_client::call_result& result);
+    absl::Status count_unread(std::size_t bytes);
     void start_caller();
     absl::Status pass_events(std::span<const char> bytes);
     absl::Status pass_bytes(std::span<const char> bytes);
@@ -103,8 +112,10 @@
     attempt_result result_;
     event_splitter splitter_;
     bool passing_ = false;
+    std::size_t unread_bytes_ = 0;  // Passed through after the caller left.
 
     std::atomic<std::uint64_t> delivered_;
+    std::atomic<bool> caller_left_ = false;
 };
 
 }  // namespace bronzehub::calls
