Bound what the platform client reads of one reply

Cause: the fields of a reply had no limit but libcurl's, which leaves out trailers and depends on the version, and libcurl keeps each field.

Conclusion: a reply over a limit is broken with its cause: a write is unknown, a read unavailable. A chunk extension without end is still ended by the operation's timeout only, without using memory.

--- a/src/platform_http/http_platform_test.cpp
+++ b/src/platform_http/http_platform_test.cpp
@@ -10,6 +10,7 @@
 #include "http.hpp"
 #include "platform_role.hpp"
 #include "standin.hpp"
+#include "support/endless_sender.hpp"
 
 namespace bronzehub::platform {
 namespace {
@@ -180,6 +181,33 @@
     CHECK(at.read("a/b c")->has_value() == applied);
 }
 
+// Guards against a store in trouble that fills the memory of every daemon, and
+// against an error that does not tell it from a network failure.
+TEST_CASE("bytes without end that are no answer end the operation") {
+    const std::string chunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const auto [response, reason] =
+        GENERATE_COPY(table<test::endless_response, std::string>({
+            {{"body", "HTTP/1.1 200 OK\r\n\r\n", "x"}, "the body exceeds"},
+            {{"error body", "HTTP/1.1 503 Busy\r\n\r\n", "x"},
+             "the body exceeds 1048576 bytes"},
+            {{"fields", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+             "the header fields exceed"},
+            {{"trailer fields", chunked + "2\r\nok\r\n0\r\n", "A: b\r\n"},
+             "the header fields exceed"},
+        }));
+    CAPTURE(response.name);
+    test::endless_sender store(response);
+    client at({.base_url = "http://127.0.0.1:" + std::to_string(store.port()),
+               .timeout = patience});
+
+    const absl::Status result = at.transact(one_write).status();
+
+    CHECK(result.code() == absl::StatusCode::kUnknown);
+    CHECK_THAT(std::string(result.message()), Catch::Contains(reason));
+    CHECK(store.was_closed_early());
+}
+
 // Guards against a refused connection that leaves a claim in doubt.
 TEST_CASE("a write to a closed port was not applied") {
     std::string url;
--- a/src/platform_http/transfers.cpp
+++ b/src/platform_http/transfers.cpp
@@ -2,12 +2,15 @@
 
 #include <curl/curl.h>
 
+#include <algorithm>
 #include <deque>
 #include <mutex>
 #include <thread>
 #include <unordered_map>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+
 namespace bronzehub::platform {
 namespace {
 
@@ -19,6 +22,15 @@
 constexpr int busy_poll_milliseconds = 100;
 constexpr int idle_poll_milliseconds = 60'000;
 
+// Bytes of heads and trailers of a reply; libcurl's own limit depends on its
+// version and leaves out trailers.
+constexpr std::size_t max_field_bytes = 256UL * 1024;
+
+// Bytes of the body of an error status. The largest that is read is the list
+// of conflicts of a transaction, a number for each write.
+constexpr std::size_t max_error_bytes = 1024UL * 1024;
+constexpr long first_error_status = 400;
+
 http_reply failed(transfer_result result, std::string error) {
     return {result, 0, {}, std::move(error)};
 }
@@ -84,6 +96,8 @@
         queued_call queued;
         http_reply reply;
         std::size_t max_bytes = 0;
+        std::size_t field_bytes = 0;
+        std::string rejection = {};  // Why the reply was given up, or empty.
     };
 
     void run() {
@@ -155,6 +169,9 @@
                          static_cast<long>(timeout.count()));
         curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &worker::receive);
         curl_easy_setopt(handle, CURLOPT_WRITEDATA, &current);
+        curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION,
+                         &worker::receive_field);
+        curl_easy_setopt(handle, CURLOPT_HEADERDATA, &current);
         // Without the empty Expect header, libcurl waits for 100-continue
         // before it sends a larger body.
         curl_slist* headers = curl_slist_append(nullptr, "Expect:");
@@ -175,13 +192,39 @@
                                void* user) {
         auto& current = *static_cast<transfer*>(user);
         const std::size_t size = unit * count;
-        if (current.reply.body.size() + size > current.max_bytes) {
-            return CURL_WRITEFUNC_ERROR;
+        long status = 0;
+        curl_easy_getinfo(current.handle.get(), CURLINFO_RESPONSE_CODE,
+                          &status);
+        const std::size_t limit =
+            status < first_error_status
+                ? current.max_bytes
+                : std::min(current.max_bytes, max_error_bytes);
+        if (current.reply.body.size() + size > limit) {
+            return reject(current,
+                          absl::StrCat("the body exceeds ", limit, " bytes"));
         }
         current.reply.body.append(data, size);
         return size;
     }
 
+    static std::size_t receive_field(char* /*data*/, std::size_t unit,
+                                     std::size_t count, void* user) {
+        auto& current = *static_cast<transfer*>(user);
+        current.field_bytes += unit * count;
+        if (current.field_bytes > max_field_bytes) {
+            return reject(current, absl::StrCat("the header fields exceed ",
+                                                max_field_bytes, " bytes"));
+        }
+        return unit * count;
+    }
+
+    // curl ends the transfer and closes its connection when a hook returns the
+    // result.
+    static std::size_t reject(transfer& current, std::string reason) {
+        current.rejection = std::move(reason);
+        return CURL_WRITEFUNC_ERROR;
+    }
+
     void collect() {
         int left = 0;
         while (CURLMsg* done = curl_multi_info_read(multi_, &left)) {
@@ -213,7 +256,8 @@
         curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &sent_bytes);
         return failed(sent_bytes == 0 ? transfer_result::not_sent
                                       : transfer_result::broken,
-                      curl_easy_strerror(code));
+                      current.rejection.empty() ? curl_easy_strerror(code)
+                                                : current.rejection);
     }
 
     // Ends every call that is still open when the thread stops.
