Bound what the command line tool reads of a response

Cause: the tool appended a body of any length, and libcurl kept trailers of any length, until the timeout (10 s unless an option says otherwise).

Conclusion: a body above 64 MiB or fields above 256 KiB end the connection, and the tool exits as it does when no response came.

--- a/src/cli/admin_client.cpp
+++ b/src/cli/admin_client.cpp
@@ -3,6 +3,7 @@
 #include <curl/curl.h>
 
 #include <memory>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 
@@ -14,9 +15,45 @@
 
 constexpr long connect_timeout_ms = 2000;
 
+// The limit of the platform client for a snapshot of the configuration.
+constexpr std::size_t max_body_bytes = 64UL * 1024 * 1024;
+
+// Bytes of heads and trailers of a response; libcurl's own limit depends on
+// its version and leaves out trailers.
+constexpr std::size_t max_field_bytes = 256UL * 1024;
+
+struct transfer {
+    admin_response response = {};
+    std::size_t field_bytes = 0;
+    std::string rejection = {};  // Why the response was given up, or empty.
+};
+
+// curl ends the transfer when a hook returns the result.
+std::size_t reject(transfer& current, std::string reason) {
+    current.rejection = std::move(reason);
+    return CURL_WRITEFUNC_ERROR;
+}
+
 std::size_t append_body(char* data, std::size_t size, std::size_t count,
-                        void* body) {
-    static_cast<std::string*>(body)->append(data, size * count);
+                        void* user) {
+    auto& current = *static_cast<transfer*>(user);
+    const std::size_t bytes = size * count;
+    if (current.response.body.size() + bytes > max_body_bytes) {
+        return reject(current, absl::StrCat("the body exceeds ", max_body_bytes,
+                                            " bytes"));
+    }
+    current.response.body.append(data, bytes);
+    return bytes;
+}
+
+std::size_t count_field(char* /*data*/, std::size_t size, std::size_t count,
+                        void* user) {
+    auto& current = *static_cast<transfer*>(user);
+    current.field_bytes += size * count;
+    if (current.field_bytes > max_field_bytes) {
+        return reject(current, absl::StrCat("the header fields exceed ",
+                                            max_field_bytes, " bytes"));
+    }
     return size * count;
 }
 
@@ -33,7 +70,7 @@
 }
 
 void set_options(CURL* curl, const admin_request& request,
-                 const header_list& headers, std::string& body) {
+                 const header_list& headers, transfer& current) {
     curl_easy_setopt(curl, CURLOPT_URL, request.url.c_str());
     curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, request.method.c_str());
     if (request.method == "POST") {
@@ -49,7 +86,9 @@
     curl_easy_setopt(curl, CURLOPT_TIMEOUT,
                      static_cast<long>(request.timeout.count()));
     curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, append_body);
-    curl_easy_setopt(curl, CURLOPT_WRITEDATA, &body);
+    curl_easy_setopt(curl, CURLOPT_WRITEDATA, &current);
+    curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, count_field);
+    curl_easy_setopt(curl, CURLOPT_HEADERDATA, &current);
 }
 
 absl::StatusOr<admin_response> send_with_curl(const admin_request& request) {
@@ -58,16 +97,19 @@
         return absl::UnavailableError("libcurl could not be initialised");
     }
     const header_list headers = make_headers(request);
-    admin_response response;
-    set_options(curl.get(), request, headers, response.body);
+    transfer current;
+    set_options(curl.get(), request, headers, current);
     const CURLcode result = curl_easy_perform(curl.get());
+    if (!current.rejection.empty()) {
+        return absl::UnavailableError(current.rejection);
+    }
     if (result != CURLE_OK) {
         return absl::UnavailableError(curl_easy_strerror(result));
     }
     long status = 0;
     curl_easy_getinfo(curl.get(), CURLINFO_RESPONSE_CODE, &status);
-    response.status = static_cast<int>(status);
-    return response;
+    current.response.status = static_cast<int>(status);
+    return std::move(current.response);
 }
 
 }  // namespace
--- a/src/cli/cli_test.cpp
+++ b/src/cli/cli_test.cpp
@@ -5,6 +5,7 @@
 
 #include "cli/formatting.hpp"
 #include "cli/tool.hpp"
+#include "support/endless_sender.hpp"
 
 namespace bronzehub::cli {
 namespace {
@@ -93,6 +94,31 @@
     CHECK(tool.error.str().empty() == (expected == exit_code::done));
 }
 
+// Guards against a tool that fills its memory when what it reached is no
+// daemon.
+TEST_CASE("a response without end is an error of the connection") {
+    const auto [response, reason] =
+        GENERATE(table<test::endless_response, std::string>({
+            {{"body", "HTTP/1.1 200 OK\r\n\r\n", "x"}, "the body exceeds"},
+            {{"trailer fields",
+              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+              "A: b\r\n"},
+             "the header fields exceed"},
+        }));
+    CAPTURE(response.name);
+    test::endless_sender server(response);
+
+    admin_request request;
+    request.method = "GET";
+    request.url = "http://127.0.0.1:" + std::to_string(server.port()) + "/";
+
+    const auto result = curl_sender()(request);
+
+    CHECK(result.status().code() == absl::StatusCode::kUnavailable);
+    CHECK_THAT(std::string(result.status().message()), Catch::Contains(reason));
+    CHECK(server.was_closed_early());
+}
+
 // Guards against an error that hides what the daemon said.
 TEST_CASE("a refusal shows the daemon's message and a remedy") {
     fake_tool tool;
