--- a/src/backend_client/client_test.cpp
+++ b/src/backend_client/client_test.cpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "http_server/server.hpp"
+#include "support/endless_sender.hpp"
 #include "support/raw_socket.hpp"
 
 namespace bronzehub::backend_client {
@@ -55,6 +56,7 @@
             .on_body =
                 [this](std::span<const char> bytes) {
                     body.append(bytes.data(), bytes.size());
+                    return absl::OkStatus();
                 },
             .on_end =
                 [this](const call_result& result) { ended.set_value(result); }};
@@ -275,6 +277,83 @@
     CHECK_FALSE(result.end_verified);
 }
 
+// Guards against a backend server that keeps a call, a connection and memory
+// for as long as it sends bytes that are no answer. libcurl itself ends some of
+// these calls, depending on its version.
+TEST_CASE("bytes without end that are no answer end the call as broken") {
+    const std::string chunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string last_chunk = chunked + "2\r\nok\r\n0\r\n";
+    const std::string own_limit = "the header fields exceed";
+    const auto [response, reason] = GENERATE_COPY(table<test::endless_response,
+                                                        std::string>({
+        {{"fields", "HTTP/1.1 200 OK\r\n", "A: b\r\n"}, own_limit},
+        {{"long field", "HTTP/1.1 200 OK\r\nA: ", "b"}, ""},
+        {{"folded field", "HTTP/1.1 200 OK\r\nA: b\r\n", " c\r\n"}, own_limit},
+        {{"interim heads", "", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"},
+         own_limit},
+        {{"interim status", "", "HTTP/1.1 100 Continue\r\n\r\n"}, own_limit},
+        {{"no status line", "", "x"}, ""},
+        {{"lines but no status line", "", "x\r\n"}, ""},
+        {{"empty lines", "", "\r\n"}, ""},
+        {{"trailer fields", last_chunk, "A: b\r\n"}, own_limit},
+        {{"long trailer field", last_chunk + "A: ", "b"}, ""},
+        {{"chunk size", chunked, "0"}, ""},
+        {{"chunk extension", chunked + "2\r\nok\r\n2;", "x"},
+         "the framing of the body exceeds"},
+        {{"other protocol", "HTTP/1.1 101 Switching Protocols\r\n\r\n", "x"},
+         "without a final head"},
+    }));
+    CAPTURE(response.name);
+    test::endless_sender backend(response);
+    const auto sender = start_client();
+
+    const call_result result =
+        send_and_wait(*sender, {.address = address_of(backend.port())});
+
+    CHECK(result.kind == outcome::broken);
+    CHECK_FALSE(result.cancelled);
+    CHECK_FALSE(result.error.empty());
+    CHECK_THAT(result.error, Catch::Contains(reason));
+    CHECK(backend.was_closed_early());
+}
+
+// Guards against an unusable response that is read to its end, and against an
+// error that hides why it was given up.
+TEST_CASE("a body that its reader refuses ends the call as broken") {
+    test::endless_sender backend({"body", "HTTP/1.1 200 OK\r\n\r\n", "x"});
+    const auto sender = start_client();
+    recorded_call record;
+    backend_events events = record.events();
+    events.on_body = [](auto) { return absl::DataLossError("no use"); };
+    sender->send({.address = address_of(backend.port())}, std::move(events));
+    const call_result result = record.result();
+    CHECK(result.kind == outcome::broken);
+    CHECK_FALSE(result.cancelled);
+    CHECK(result.error == "no use");
+    CHECK(backend.was_closed_early());
+}
+
+// Guards against limits on useless bytes that count across useful ones.
+TEST_CASE("a body in many small chunks arrives whole") {
+    constexpr std::size_t chunks = 20'000;
+    std::string response =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (std::size_t i = 0; i < chunks; ++i) {
+        response += "1;name=value\r\nx\r\n";
+    }
+    response += "0\r\n\r\n";
+    const raw_listener backend;
+    const auto sender = start_client();
+    recorded_call record;
+    sender->send({.address = address_of(backend.port())}, record.events());
+    raw_socket peer = backend.accept();
+    peer.read_until("\r\n\r\n");
+    peer.send(response);
+    CHECK(record.result().kind == outcome::completed);
+    CHECK(record.body == std::string(chunks, 'x'));
+}
+
 // Guards against calls that hang on a silent or endless backend server.
 TEST_CASE("a call without progress ends by its timeouts") {
     constexpr auto limit = std::chrono::milliseconds(100);
