--- a/src/entry/event_relay.cpp
+++ b/src/entry/event_relay.cpp
@@ -9,6 +9,13 @@
 
 constexpr std::string_view separator = "\n\n";
 constexpr std::string_view id_field = "id:";
+constexpr std::string_view data_field = "data:";
+
+// A block without data, such as a comment, is no event.
+bool has_data(std::string_view event) {
+    return event.starts_with(data_field) ||
+           event.find("\ndata:") != std::string_view::npos;
+}
 
 }  // namespace
 
@@ -38,7 +45,7 @@
 bool event_relay::accept(std::string_view event) {
     const auto id = event_id(event);
     if (!id) {
-        last_event_has_id_ = false;
+        last_event_has_id_ = last_event_has_id_ && !has_data(event);
         ++events_;
         return true;
     }
@@ -100,7 +107,7 @@
     partial_.clear();
     failure_.clear();
     run_last_id_.reset();
-    restarted_ = true;
+    restarted_ = last_id_.has_value();
 }
 
 }  // namespace bronzehub::entry
