Do not continue a stream at another service

Found by review. When a route moved to another service between two attempts, the caller got events of both in one complete response, under the first one's signature. Before: test_a_moved_route_does_not_mix_two_services_in_a_stream fails; after: it passes, the response breaks off with the cause `route changed`.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -133,17 +133,19 @@
     if (newest == configuration_) {
         return true;
     }
+    const std::string service = service_->name;
     configuration_ = newest;
     if (!find_route() || !check_key()) {
         return false;
     }
-    // What was decided after an earlier attempt must hold for the new route.
-    if (response_started_ ? !may_resume()
+    choose_service();
+    // What was decided after an earlier attempt must hold for the new route,
+    // and a response is not continued by another service.
+    if (response_started_ ? !may_resume() || service_->name != service
                           : may_have_run_ && !route_->repeatable()) {
         respond_error(bad_gateway, "route changed");
         return false;
     }
-    choose_service();
     return true;
 }
 
