Promise nothing for a request that an earlier attempt may have run

Found by review. A server's own 408, 421, 429 or 503 was passed on also when an attempt before it had broken off, so that a request that may have run was answered as one that has not. Without an earlier attempt the server's answer is passed on as before.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -394,6 +394,7 @@
 
 void call::after_attempt(overload::attempt_end end, std::string_view reason) {
     using overload::attempt_end;
+    const bool earlier_may_have_run = may_have_run_;
     if (end == attempt_end::not_sent || end == attempt_end::rejected) {
         attempts_sent_ -= end == attempt_end::not_sent ? 1 : 0;
     } else {
@@ -408,6 +409,7 @@
     facts.attempts_sent = attempts_sent_;
     facts.max_attempts = route_->max_attempts;
     facts.time_left = time_left() > base::duration(0);
+    facts.earlier_may_have_run = earlier_may_have_run;
     attempt_action action = overload::decide_after_attempt(facts);
     if ((action == attempt_action::send_elsewhere &&
          ++connect_failures_ > max_connect_failures) ||
--- a/src/overload/attempt_policy.cpp
+++ b/src/overload/attempt_policy.cpp
@@ -1,5 +1,8 @@
 #include "overload/attempt_policy.hpp"
 
+#include <algorithm>
+#include <array>
+
 namespace bronzehub::overload {
 namespace {
 
@@ -7,6 +10,12 @@
 // The backend server's own deadline passed; another one has no time either.
 constexpr int gateway_timeout = 504;
 
+// Statuses that tell a caller that its request has not run and never will.
+bool promises_not_run(int status) {
+    constexpr std::array promises{408, 421, 429, 503};
+    return std::ranges::find(promises, status) != promises.end();
+}
+
 }  // namespace
 
 attempt_action without_repeat(const attempt_facts& facts) {
@@ -19,6 +28,9 @@
     }
     switch (facts.end) {
         case attempt_end::answered:
+            return facts.earlier_may_have_run && promises_not_run(facts.status)
+                       ? attempt_action::fail
+                       : attempt_action::deliver;
         case attempt_end::stream_ended:
             return attempt_action::deliver;
         case attempt_end::not_sent:
--- a/src/overload/attempt_policy.hpp
+++ b/src/overload/attempt_policy.hpp
@@ -37,6 +37,8 @@
     std::uint32_t attempts_sent = 0;
     std::uint32_t max_attempts = 1;
     bool time_left = true;
+    // An attempt before this one may have run.
+    bool earlier_may_have_run = false;
 };
 
 enum class attempt_action : std::uint8_t {
--- a/src/overload/attempt_policy_test.cpp
+++ b/src/overload/attempt_policy_test.cpp
@@ -32,6 +32,11 @@
     return base;
 }
 
+attempt_facts behind_a_run(attempt_facts base) {
+    base.earlier_may_have_run = true;
+    return base;
+}
+
 attempt_facts late(attempt_facts base) {
     base.time_left = false;
     return base;
@@ -66,6 +71,13 @@
         {"own error, no attempt left", facts(end::answered, 500, true, 2, 2),
          act::deliver},
         {"own deadline", facts(end::answered, 504, true, 1, 2), act::deliver},
+        {"own refusal", facts(end::answered, 503, false, 1, 1), act::deliver},
+        {"own refusal behind an attempt that may have run",
+         behind_a_run(facts(end::answered, 503, true, 2, 2)), act::fail},
+        {"own limit behind an attempt that may have run",
+         behind_a_run(facts(end::answered, 429, true, 2, 2)), act::fail},
+        {"own error behind an attempt that may have run",
+         behind_a_run(facts(end::answered, 500, true, 2, 2)), act::deliver},
         {"unreachable, not repeatable", facts(end::not_sent, 0, false, 0, 1),
          act::send_elsewhere},
         {"unreachable, late", late(facts(end::not_sent, 0, false, 0, 1)),
