Skip large late responses, and believe a rejection by its head

Found by review of the limits on what a server may send. A late response to another request counted as overhead, so that one of over 256 KiB broke the exchange behind it; skipped bodies have a limit of their own now, that of a whole response. Before: test_a_large_foreign_response_is_skipped and test_a_large_rejection_still_states_that_nothing_ran fail; after: they pass.

--- a/src/entry/backend_connection.cpp
+++ b/src/entry/backend_connection.cpp
@@ -208,7 +208,11 @@
 }
 
 void backend_connection::on_body(std::string_view bytes) {
-    if (skipping_ || !hooks_ || !failure_.empty()) {
+    if (skipping_) {
+        overhead_.on_skipped_body(bytes.size());
+        return;
+    }
+    if (!hooks_ || !failure_.empty()) {
         return;
     }
     overhead_.on_body(bytes.size());
--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -327,12 +327,13 @@
     if (how == exchange_end::not_sent || how == exchange_end::unreachable) {
         return attempt_end::not_sent;
     }
-    if (how == exchange_end::broken) {
-        return attempt_end::broken;
-    }
+    // The head alone says that the request was not run.
     if (now.facts.not_run || now.status == misdirected) {
         return attempt_end::rejected;
     }
+    if (how == exchange_end::broken) {
+        return attempt_end::broken;
+    }
     if (now.is_stream) {
         // A stream may properly end without an event.
         return relay_.has_partial() || relay_.failed() || relay_.is_behind()
--- a/src/entry/response_limits.cpp
+++ b/src/entry/response_limits.cpp
@@ -30,7 +30,13 @@
     if (skipped_ > max_skipped) {
         return absl::StrCat("over ", max_skipped, " responses skipped");
     }
-    if (received_ - body_ > max_bytes + bytes_per_body_byte * body_) {
+    // As much as another request's response may have.
+    if (skipped_body_ > max_response_bytes) {
+        return absl::StrCat("over ", max_response_bytes,
+                            " bytes of skipped responses");
+    }
+    const std::uint64_t content = body_ + skipped_body_;
+    if (received_ - content > max_bytes + bytes_per_body_byte * content) {
         return absl::StrCat("over ", max_bytes,
                             " bytes besides the response body");
     }
--- a/src/entry/response_limits.hpp
+++ b/src/entry/response_limits.hpp
@@ -39,12 +39,12 @@
 std::string body_over(std::size_t limit);
 
 // Counts what comes on a connection for one request besides the body of its
-// response: heads, framing, interim responses and responses to other requests.
+// response: heads, framing, interim responses and late responses to other
+// requests.
 // Not thread-safe.
 class response_overhead {
 public:
-    // Above the largest head that the parser takes together with a late
-    // response to another request; reading more takes longer than a repeat.
+    // Heads and framing: four of the largest heads that the parser takes.
     static constexpr std::size_t max_bytes = std::size_t{256} * 1024;
     // A chunk of one byte has five bytes of framing.
     static constexpr std::uint64_t bytes_per_body_byte = 8;
@@ -53,6 +53,7 @@
 
     void on_received(std::size_t bytes) { received_ += bytes; }
     void on_body(std::size_t bytes) { body_ += bytes; }
+    void on_skipped_body(std::size_t bytes) { skipped_body_ += bytes; }
     void on_skipped_response() { ++skipped_; }
 
     // Why the exchange must end; empty if it may go on.
@@ -61,6 +62,7 @@
 private:
     std::uint64_t received_ = 0;
     std::uint64_t body_ = 0;
+    std::uint64_t skipped_body_ = 0;
     std::uint32_t skipped_ = 0;
 };
 
