Break off what is left at the end of the grace period

Found by review. For a caller of HTTP/1.0 a stream that was unfinished when the daemon had to exit ended by a plain close, as a whole one does. Before: test_a_stop_resets_unfinished_streams_of_http_1_0 fails; after: it passes.

--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -272,6 +272,8 @@
     const base::duration grace = from_ms(settings_.bounds.grace_period_ms);
     const bool done = since > serve_on_after_stop && calls_.empty();
     if (done || since > grace - exit_margin) {
+        // What is left must not look complete to its caller.
+        callers_.abort_responses();
         loop_.stop();
     }
 }
--- a/src/entry/http_listener.cpp
+++ b/src/entry/http_listener.cpp
@@ -177,6 +177,16 @@
         open, [](const auto& connection) { connection->close_idle(); });
 }
 
+void http_listener::abort_responses() {
+    const std::vector<std::shared_ptr<caller_connection>> open(
+        connections_.begin(), connections_.end());
+    std::ranges::for_each(open, [](const auto& connection) {
+        if (connection->in_call()) {
+            connection->abort();
+        }
+    });
+}
+
 std::size_t http_listener::active() const {
     return static_cast<std::size_t>(std::ranges::count_if(
         connections_,
--- a/src/entry/http_listener.hpp
+++ b/src/entry/http_listener.hpp
@@ -31,6 +31,9 @@
     // Closes the connections that have no request.
     void close_idle();
 
+    // Breaks off the responses in progress.
+    void abort_responses();
+
     std::size_t connections() const { return connections_.size(); }
     // Accepted sockets that could not be watched and were closed unread.
     std::uint64_t unwatched() const { return unwatched_; }
