Answer HEAD with the length that the server states

Callers got Content-Length: 0 for content that is not empty. Before: test_the_answer_to_head_has_the_length_of_the_content fails; after: it passes.

--- a/src/entry/caller_connection.cpp
+++ b/src/entry/caller_connection.cpp
@@ -236,8 +236,15 @@
     if (!in_call_) {
         return;
     }
-    std::string bytes = encode_head(
-        status, headers, absl::StrCat("Content-Length: ", body.size(), "\r\n"));
+    std::string framing = absl::StrCat("Content-Length: ", body.size(), "\r\n");
+    if (head_request_ && body.empty()) {
+        // The length that the answer to GET would have, if it is known.
+        const auto length = base::find_header(headers, "Content-Length");
+        framing = length ? absl::StrCat(
+                               "Content-Length: ", std::string(*length), "\r\n")
+                         : "";
+    }
+    std::string bytes = encode_head(status, headers, framing);
     if (!head_request_) {
         bytes.append(body);
     }
