--- a/src/entry/backend_connection.cpp
+++ b/src/entry/backend_connection.cpp
@@ -165,7 +165,7 @@
         bytes.remove_prefix(taken);
         overhead_.on_received(taken);
         if (failure_.empty()) {
-            failure_ = overhead_.excess();
+            failure_ = overhead_.limit_error();
         }
         if (!failure_.empty()) {
             end(exchange_end::broken, failure_);
--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -252,7 +252,7 @@
         now.facts.not_run || now.status == misdirected, head.body_bytes,
         now.resumes};
     now.max_body_bytes = max_body_bytes(outline);
-    if (const std::string fault = check_head(outline); !fault.empty()) {
+    if (const std::string fault = head_error(outline); !fault.empty()) {
         now.connection->fail_exchange(fault);
     }
     return true;
@@ -269,7 +269,7 @@
     if (attempt_->body.size() + bytes.size() > attempt_->max_body_bytes) {
         attempt_->body = {};  // The next attempt may have to wait.
         attempt_->connection->fail_exchange(
-            body_over(attempt_->max_body_bytes));
+            body_limit_error(attempt_->max_body_bytes));
         return;
     }
     attempt_->body.append(bytes);
@@ -419,11 +419,11 @@
         action = overload::without_repeat(facts);
     }
     report_.why = overload::to_string(end);
-    const bool as_wanted =
+    const bool usable =
         end == attempt_end::stream_ended ||
         (end == attempt_end::answered &&
          attempt_->status < first_server_error && !response_started_);
-    if (!as_wanted) {
+    if (!usable) {
         environment_.reporter.on_step(report_,
                                       absl::StrCat("attempt ", report_.why),
                                       reason, attempt_->status);
--- a/src/entry/call_report.cpp
+++ b/src/entry/call_report.cpp
@@ -25,6 +25,7 @@
       clock_(std::move(clock)),
       delivered_{delivered_lines, delivered_lines.burst, clock_.now()},
       other_{other_lines, other_lines.burst, clock_.now()},
+      steps_{step_lines, step_lines.burst, clock_.now()},
       total_(figures.add_distribution(
           "bronzehub_entry_call_seconds",
           "Time from a request's arrival to the end of its response.")),
@@ -88,7 +89,7 @@
 
 void call_reporter::on_step(const call_report& so_far, std::string_view step,
                             std::string_view why, int status) {
-    if (!take(other_)) {
+    if (!take(steps_)) {
         return;
     }
     log_.info(
--- a/src/entry/call_report.hpp
+++ b/src/entry/call_report.hpp
@@ -67,6 +67,9 @@
     // percent of its processor time at its highest load.
     static constexpr line_budget delivered_lines{5, 20};
     static constexpr line_budget other_lines{40, 100};
+    // Lines of steps: a part of the above, so that many failed attempts leave
+    // room for the lines of the calls that failed.
+    static constexpr line_budget step_lines{20, 50};
 
     call_reporter(logging::logger& log, metrics::registry& figures,
                   base::clock clock);
@@ -102,6 +105,7 @@
     base::clock clock_;
     bucket delivered_;
     bucket other_;
+    bucket steps_;
     std::array<std::uint64_t, outcomes> counts_{};
     std::uint64_t omitted_ = 0;
     metrics::distribution& total_;
--- a/src/entry/event_relay.cpp
+++ b/src/entry/event_relay.cpp
@@ -51,7 +51,8 @@
     }
     if (restarted_ && last_id_) {
         if (*id <= *last_id_) {
-            // A server that starts anew repeats each event once, in order.
+            // A server that restarts from the first event repeats each once, in
+            // order.
             if (run_last_id_ && *id <= *run_last_id_) {
                 fail("events repeated out of order");
             }
--- a/src/entry/event_relay.hpp
+++ b/src/entry/event_relay.hpp
@@ -28,7 +28,8 @@
     // Whether another server can be told where the stream is to go on: only
     // when the last event that was passed on has an id.
     bool can_resume() const { return last_id_ && last_event_has_id_; }
-    // A server that started anew has not come as far as the one before it.
+    // A server that restarted from the first event has not reached the last one
+    // passed on.
     bool is_behind() const {
         return run_last_id_ && last_id_ && *run_last_id_ < *last_id_;
     }
--- a/src/entry/event_relay_test.cpp
+++ b/src/entry/event_relay_test.cpp
@@ -85,7 +85,8 @@
 
 // Guards against a stream that ends with a run that never got as far as the
 // caller.
-TEST_CASE("a run that starts anew is behind until the last event") {
+TEST_CASE(
+    "a run from the first event is behind until it reaches the last one") {
     const auto [run, behind] = GENERATE(table<std::string, bool>({
         {"", false},
         {event(1), true},
--- a/src/entry/response_limits.cpp
+++ b/src/entry/response_limits.cpp
@@ -8,7 +8,7 @@
     return response.is_rejection ? max_rejection_bytes : max_response_bytes;
 }
 
-std::string check_head(const response_outline& response) {
+std::string head_error(const response_outline& response) {
     if (response.is_stream) {
         return "";
     }
@@ -19,14 +19,15 @@
         return "no stream in answer to a resumption";
     }
     const std::size_t limit = max_body_bytes(response);
-    return response.body_bytes.value_or(0) > limit ? body_over(limit) : "";
+    return response.body_bytes.value_or(0) > limit ? body_limit_error(limit)
+                                                   : "";
 }
 
-std::string body_over(std::size_t limit) {
+std::string body_limit_error(std::size_t limit) {
     return absl::StrCat("response body over ", limit, " bytes");
 }
 
-std::string response_overhead::excess() const {
+std::string response_overhead::limit_error() const {
     if (skipped_ > max_skipped) {
         return absl::StrCat("over ", max_skipped, " responses skipped");
     }
--- a/src/entry/response_limits.hpp
+++ b/src/entry/response_limits.hpp
@@ -34,9 +34,9 @@
 std::size_t max_body_bytes(const response_outline& response);
 
 // Why a response can't be delivered, whatever its body is; empty if it can.
-std::string check_head(const response_outline& response);
+std::string head_error(const response_outline& response);
 
-std::string body_over(std::size_t limit);
+std::string body_limit_error(std::size_t limit);
 
 // Counts what comes on a connection for one request besides the body of its
 // response: heads, framing, interim responses and late responses to other
@@ -57,7 +57,7 @@
     void on_skipped_response() { ++skipped_; }
 
     // Why the exchange must end; empty if it may go on.
-    std::string excess() const;
+    std::string limit_error() const;
 
 private:
     std::uint64_t received_ = 0;
--- a/src/entry/response_limits_test.cpp
+++ b/src/entry/response_limits_test.cpp
@@ -2,7 +2,7 @@
 
 #include <catch2/catch.hpp>
 
-using bronzehub::entry::check_head;
+using bronzehub::entry::head_error;
 using bronzehub::entry::max_rejection_bytes;
 using bronzehub::entry::max_response_bytes;
 using bronzehub::entry::response_outline;
@@ -39,7 +39,7 @@
             {"rejection, resumed", {false, false, true, 5, true}, ""},
         }));
     CAPTURE(what);
-    CHECK(check_head(response) == expected);
+    CHECK(head_error(response) == expected);
 }
 
 // Guards against bytes without end that belong to no body, and against a long
@@ -73,5 +73,5 @@
     for (int i = 0; i < skipped; ++i) {
         tested.on_skipped_response();
     }
-    CHECK(tested.excess() == expected);
+    CHECK(tested.limit_error() == expected);
 }
--- a/src/entry/store_client.cpp
+++ b/src/entry/store_client.cpp
@@ -60,7 +60,7 @@
 void store_client::on_body(std::string_view bytes) {
     if (body_.size() + bytes.size() > max_store_response) {
         body_ = {};  // The next call may be a while away.
-        connection_->fail_exchange(body_over(max_store_response));
+        connection_->fail_exchange(body_limit_error(max_store_response));
         return;
     }
     body_.append(bytes);
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -262,13 +262,13 @@
                   } else if (job->content.state == plan_state::dropped) {
                       job->done(not_open(job->content));
                   } else {
-                      check_head(job);
+                      head_error(job);
                   }
               });
 }
 
 // Step 2: the head must be the plan's base.
-void planner::check_head(const job_pointer& job) {
+void planner::head_error(const job_pointer& job) {
     load_head([this, job](const absl::StatusOr<stored_head>& head) {
         if (!head.ok()) {
             job->done(head.status());
--- a/src/planning/planner.hpp
+++ b/src/planning/planner.hpp
@@ -122,7 +122,7 @@
 
     // Steps of a confirmation.
     void start(const job_pointer& job);
-    void check_head(const job_pointer& job);
+    void head_error(const job_pointer& job);
     void prepare(const job_pointer& job);
     void commit(const job_pointer& job);
     void on_committed(const job_pointer& job, const write_result& result);
--- a/tests/entry_path/entry_path_test.py
+++ b/tests/entry_path/entry_path_test.py
@@ -519,15 +519,15 @@
                 self.assertFalse(received.endswith(b"0\r\n\r\n"))
 
     # Guards against a stream that ends with a run that never got as far as the
-    # caller. A run that starts anew and gets there is a proper end.
-    async def test_a_run_that_starts_anew_must_pass_the_last_event(self):
+    # caller. A run from the first event that gets there is a proper end.
+    async def test_a_run_from_the_first_event_must_reach_the_last_one(self):
         self.set_all(self.model, "stream_cut")
         for events in [3, 1]:
             with self.subTest(events=events):
                 for replica in self.model:
                     replica.cut_after = 2
-                    replica.acts_on_resume = ["stream_anew"]
-                    replica.anew_events = events
+                    replica.acts_on_resume = ["stream_from_start"]
+                    replica.from_start_events = events
                 received = await self.read_plan()
                 self.assertEqual(received.count(b"id: 1\n"), 1)
                 self.assertEqual(received.count(b"id: 2\n"), 1)
--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -262,8 +262,8 @@
         self.released.set()
         # All servers whose runs `drop_first_run` counts.
         self.peers = [self]
-        # Events of `stream_anew`.
-        self.anew_events = 1
+        # Events of `stream_from_start`.
+        self.from_start_events = 1
 
     async def start(self):
         await super().start()
@@ -530,8 +530,8 @@
         last = self.cut_after if last is None else int(last)
         return await self.stream(writer, request_id, headers, first, last, end)
 
-    async def act_stream_anew(self, _reader, writer, request_id, headers, events=None):
-        last = int(events or self.anew_events)
+    async def act_stream_from_start(self, _reader, writer, request_id, headers, events=None):
+        last = int(events or self.from_start_events)
         return await self.stream(writer, request_id, headers, 1, last)
 
     async def act_stream_gap(self, _reader, writer, request_id, headers):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -98,7 +98,7 @@
     "answer",
     "wait",
 ]
-RESUMED_GOOD = ["stream", f"stream_anew {EVENTS}"]
+RESUMED_GOOD = ["stream", f"stream_from_start {EVENTS}"]
 # A key that was taken away this long ago must not work: the bound in the
 # daemons' settings.
 REVOCATION_S = 3.0
