--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -30,8 +30,8 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "entry_path"))
 
-import entry_path_test  # noqa: E402
-from entry_path_test import Daemon, send  # noqa: E402
+import entry_path_fixture  # noqa: E402
+from entry_path_fixture import Daemon, send  # noqa: E402
 from platform_standin import (  # noqa: E402
     EVENT_BYTES,
     REQUEST_ID,
@@ -528,7 +528,7 @@
     if listed and not arguments.known_red:
         print(f"known red, left out: {listed}")
         return
-    entry_path_test.PROGRAM = os.path.abspath(arguments.program)
+    entry_path_fixture.PROGRAM = os.path.abspath(arguments.program)
     good = asyncio.run(run(arguments.seed, arguments.seconds, arguments.hosts))
     sys.exit(0 if good else 1)
 
