Keep the ports of a test's daemon reserved until it has ended

Cause: the fixture chose free ports and closed them before the daemon listened, so that a stand-in of another test that ran at the same time could be given one. The daemon then can't listen, and callers reach the other test's store, which answers 404 to every path.

The fixture now holds the ports by sockets that don't listen. The violation tells the daemon's last line. No check or bound changed.

--- a/tests/entry_path/entry_path_fixture.py
+++ b/tests/entry_path/entry_path_fixture.py
@@ -50,21 +50,27 @@
     return PREFIX + [PROGRAM]
 
 
-def free_ports(count):
+def reserve_ports(count):
+    """Sockets whose ports no other process is given while they are open.
+
+    A daemon can listen on them all the same: Linux lets two sockets have one
+    address when both allow its reuse and at most one listens.
+    """
     sockets = [socket.socket() for _ in range(count)]
     for each in sockets:
+        each.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    return sockets
 
 
 class Daemon:
     """One process of the program under test."""
 
     def __init__(self, store, name="host-1", **bounds):
-        self.callers, self.ready, self.operators, self.peers = free_ports(4)
+        self.reserved = reserve_ports(4)
+        self.callers, self.ready, self.operators, self.peers = (
+            each.getsockname()[1] for each in self.reserved
+        )
         self.settings = tempfile.NamedTemporaryFile("w", suffix=".json")
         json.dump(
             {
@@ -112,6 +118,8 @@
         self.process.wait()
         self.settings.close()
         self.log.close()
+        for each in self.reserved:
+            each.close()
 
 
 async def send(port, path, method="GET", key="key-1", body=b"", request_id="r-1", **other):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -479,7 +479,9 @@
                 except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
                     pass
                 if time.monotonic() - began > RECOVERY_S:
-                    self.violations.append("a host does not serve after the faults")
+                    daemon.log.seek(0)
+                    last = (daemon.log.readlines() or ["nothing"])[-1].rstrip()
+                    self.violations.append(f"a host does not serve; last log: {last}")
                     return
                 await asyncio.sleep(0.1)
 
