Count what each organisation is refused, and by whom

Neither log lines nor metrics could tell the hypotheses of the shares incident apart: refusals of a late host named no organisation, lines of refused calls are capped, and nothing counted tokens. A line a second and a gauge tell what each organisation asked, was granted and was refused, by its host and by the owners of engines.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -50,6 +50,17 @@
       request_(std::move(request)),
       on_end_(std::move(on_end)) {}
 
+void note_refused_by_host(overload::share_meter& shares,
+                          const fleet_state::configuration& configuration,
+                          const fleet_state::request_description& request) {
+    const double cost = fleet_state::cost_in_shares(request);
+    const auto* holder = configuration.find_key(request.key);
+    if (cost > 0 && holder != nullptr) {
+        shares.on_asked(holder->name, cost);
+        shares.on_refused(holder->name, cost, overload::refusal_point::host);
+    }
+}
+
 base::duration call::time_left() const {
     return deadline_ - environment_.loop.now();
 }
@@ -65,6 +76,8 @@
     if (!caller_->take_admission() && !environment_.load.accept()) {
         // The caller's next connection may reach a host with time.
         caller_->close_after_response();
+        note_refused_by_host(environment_.shares, *configuration_,
+                             description_);
         refuse(host_overloaded, overloaded_retry);
         return;
     }
@@ -85,6 +98,10 @@
         time_left(), [self = shared_from_this()] { self->on_deadline(); });
     choose_service();
     environment_.retries.on_request(service_->name);
+    if (engine_work()) {
+        environment_.shares.on_asked(
+            organisation_, fleet_state::cost_in_shares(description_));
+    }
     place();
 }
 
@@ -483,6 +500,11 @@
         respond_error(bad_gateway, why);
         return;
     }
+    if (engine_work() && attempts_sent_ == 0) {
+        environment_.shares.on_refused(
+            organisation_, fleet_state::cost_in_shares(description_),
+            overload::refusal_point::engines);
+    }
     const refusal response = make_refusal(description_.id, why, retry_after);
     report_.status = response.status;
     report_.retry_after_ms = response.retry_after.count();
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -25,6 +25,7 @@
 #include "overload/host_load.hpp"
 #include "overload/part_heat.hpp"
 #include "overload/retry_window.hpp"
+#include "overload/share_meter.hpp"
 
 namespace bronzehub::entry {
 
@@ -40,6 +41,7 @@
     overload::retry_window& retries;
     overload::part_heat& heat;
     overload::domain_reach& reach;
+    overload::share_meter& shares;
     call_reporter& reporter;
     std::string failure_domain;
     // Keys that were read longer ago than this may have been taken away.
@@ -52,6 +54,12 @@
     base::duration delivery_limit{};
 };
 
+// Counts a request that a late host refuses before a call begins. Requests to
+// plain services and those without a known key take no share.
+void note_refused_by_host(overload::share_meter& shares,
+                          const fleet_state::configuration& configuration,
+                          const fleet_state::request_description& request);
+
 // Owned by shared pointer, which its callbacks hold until it has ended.
 class call : public std::enable_shared_from_this<call> {
 public:
--- a/src/entry/call_placement.cpp
+++ b/src/entry/call_placement.cpp
@@ -16,17 +16,13 @@
 
 // Engines that are asked for a place before a request waits at the first.
 constexpr std::size_t engine_candidates = 3;
-// Without a hint, an answer is expected to use this part of what it may.
-constexpr double expected_output_share = 0.5;
-// A generated token counts as two read ones, in the platform's unit.
-constexpr double output_token_cost = 2;
 // When no schedule said when to come back.
 constexpr milliseconds longest_full_retry{20000};
 
 }  // namespace
 
 bool call::engine_work() const {
-    return service_->engine_slots > 0;
+    return service_ != nullptr && service_->engine_slots > 0;
 }
 
 void call::choose_service() {
@@ -152,11 +148,8 @@
     work.own_tokens = description_.prompt.empty()
                           ? description_.prompt_tokens
                           : description_.prompt.back().tokens;
-    work.output_tokens =
-        description_.expected_output_tokens.value_or(static_cast<std::uint32_t>(
-            expected_output_share * description_.max_output_tokens));
-    work.cost =
-        description_.prompt_tokens + output_token_cost * work.output_tokens;
+    work.output_tokens = fleet_state::likely_output_tokens(description_);
+    work.cost = fleet_state::cost_in_shares(description_);
     const auto target = route_->target_latency;
     work.start_by =
         response_started_
@@ -220,6 +213,10 @@
         ask_next_engine();
         return;
     }
+    if (attempts_sent_ == 0) {
+        environment_.shares.on_granted(
+            organisation_, fleet_state::cost_in_shares(description_));
+    }
     place_number_ = answer.number;
     placed_at_ = environment_.loop.now();
     const auto* server = environment_.servers.find_available(server_id);
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -32,6 +32,10 @@
 constexpr milliseconds drain_check{50};
 constexpr milliseconds settings_check{2000};
 constexpr milliseconds summary_interval{10000};
+// Shares are judged second by second.
+constexpr milliseconds share_lines_interval{1000};
+// Organisations whose refusals are logged in each interval.
+constexpr std::size_t share_lines = 4;
 // Taken off the revocation bound for the time in which the store may hold a
 // change back from its watchers, and for the way of a request.
 constexpr milliseconds key_margin{1500};
@@ -145,6 +149,7 @@
                    retries_,
                    heat_,
                    reach_,
+                   shares_,
                    reporter_,
                    settings_.host.failure_domain,
                    from_ms(settings_.bounds.revocation_ms) - key_margin,
@@ -206,6 +211,7 @@
     loop_.every(schedule_link::inventory_interval,
                 [this] { schedule_.exchange_inventory(); });
     loop_.every(housekeeping_interval, [this] { housekeeping(); });
+    loop_.every(share_lines_interval, [this] { log_shares(); });
     loop_.every(summary_interval, [this] { log_summary(); });
     loop_.every(settings_check, [this] { reload(); });
     return absl::OkStatus();
@@ -358,8 +364,12 @@
 }
 
 std::string entry_node::refuse_early(const message_head& head) {
+    const auto request = platform_wire::describe_request(head.headers);
+    if (const auto& configuration = fleet_.configuration()) {
+        note_refused_by_host(shares_, *configuration, request);
+    }
     call_report report;
-    report.request_id = platform_wire::describe_request(head.headers).id;
+    report.request_id = request.id;
     const refusal response =
         make_refusal(report.request_id, host_overloaded, overloaded_retry);
     report.outcome = call_outcome::refused;
@@ -438,6 +448,22 @@
     };
     const auto store = fleet_.read();
     const auto schedule = schedule_.read();
+    const auto set_share = [this](const std::string& organisation,
+                                  const char* what, double tokens) {
+        figures_
+            .add_gauge("bronzehub_entry_share_tokens",
+                       "Engine work by organisation since the start, in "
+                       "tokens read and twice the tokens generated.",
+                       {{"organisation", organisation}, {"what", what}})
+            .set(tokens);
+    };
+    for (const auto& [organisation, counted] : shares_.totals()) {
+        set_share(organisation, "asked", counted.asked);
+        set_share(organisation, "granted", counted.granted);
+        set_share(organisation, "refused_by_host", counted.refused_by_host);
+        set_share(organisation, "refused_by_engines",
+                  counted.refused_by_engines);
+    }
     set("bronzehub_entry_store_configuration_calls",
         "Calls of the store for the configuration.",
         static_cast<double>(store.configuration_calls));
@@ -482,6 +508,19 @@
             .count());
 }
 
+void entry_node::log_shares() {
+    for (const auto& line : shares_.take_refused(share_lines)) {
+        log_.info("organisation refused",
+                  {field("organisation", line.organisation),
+                   field("asked", line.since_last.asked),
+                   field("granted", line.since_last.granted),
+                   field("refused_by_host", line.since_last.refused_by_host),
+                   field("refused_by_engines",
+                         line.since_last.refused_by_engines),
+                   field("refused_share", load_.refused_share())});
+    }
+}
+
 void entry_node::log_summary() {
     reporter_.report_omitted();
     const auto store = fleet_.read();
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -64,6 +64,7 @@
     void tick();
     void refresh_figures();
     std::string dump();
+    void log_shares();
     void log_summary();
     void housekeeping();
 
@@ -83,6 +84,7 @@
     overload::retry_window retries_;
     overload::part_heat heat_;
     overload::domain_reach reach_;
+    overload::share_meter shares_;
     call_reporter reporter_;
     overload::host_load load_;
     read_pacer pacer_;
--- a/src/fleet_state/request_description.hpp
+++ b/src/fleet_state/request_description.hpp
@@ -31,6 +31,13 @@
     std::vector<prompt_part> prompt;
 };
 
+// Tokens that the answer will probably have.
+std::uint32_t likely_output_tokens(const request_description& request);
+
+// What the request takes of its organisation's share: tokens read once and
+// tokens generated twice. Zero for a request to a plain service.
+double cost_in_shares(const request_description& request);
+
 // What a response tells besides its status and body.
 struct response_description {
     std::optional<std::string> request_id;
