Take the search for a place on an engine out of the call

A call's search for an engine had no I/O of its own but could only be reached through a caller's connection, so no test could replay the load of a fleet on it. The decisions are unchanged.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -309,10 +309,10 @@
         response_media_type_ = media_type(attempt_->headers);
         caller_->begin(attempt_->status, attempt_->headers);
     }
-    if (place_number_) {
+    if (search_ && search_->number()) {
         const base::duration since = environment_.loop.now() - placed_at_;
         environment_.schedule.first_event(
-            *place_number_, since,
+            *search_->number(), since,
             seconds(since) <=
                 (1 - waiting_share) * seconds(route_->target_latency));
     }
@@ -404,9 +404,8 @@
 }
 
 void call::release_place() {
-    if (place_number_) {
-        environment_.schedule.release(
-            *std::exchange(place_number_, std::nullopt));
+    if (search_) {
+        search_->release();
     }
 }
 
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -15,15 +15,13 @@
 #include "entry/backend_status.hpp"
 #include "entry/call_report.hpp"
 #include "entry/caller_connection.hpp"
-#include "entry/engine_pool.hpp"
 #include "entry/event_relay.hpp"
 #include "entry/fleet_watch.hpp"
+#include "entry/place_search.hpp"
 #include "entry/read_pacer.hpp"
-#include "entry/schedule_link.hpp"
 #include "overload/attempt_policy.hpp"
 #include "overload/domain_reach.hpp"
 #include "overload/host_load.hpp"
-#include "overload/part_heat.hpp"
 #include "overload/retry_window.hpp"
 #include "overload/share_meter.hpp"
 
@@ -34,12 +32,10 @@
     event_loop& loop;
     const fleet_watch& fleet;
     fleet_state::backend_directory& servers;
-    engine_pool& engines;
     backend_pool& pool;
     backend_status& status;
     schedule_link& schedule;
     overload::retry_window& retries;
-    overload::part_heat& heat;
     overload::domain_reach& reach;
     overload::share_meter& shares;
     call_reporter& reporter;
@@ -52,6 +48,7 @@
     read_pacer& pacer;
     // Time in which an event of a stream must be passed on.
     base::duration delivery_limit{};
+    search_environment search;
 };
 
 // Counts a request that a late host refuses before a call begins. Requests to
@@ -101,11 +98,9 @@
     void place();
     void place_plain();
     void place_engine();
-    void refuse_full();
-    void ask_next_engine();
+    wanted_place describe_place() const;
     void on_place(const place_answer& answer, const std::string& server);
-    place_request make_place_request(const fleet_state::backend_server& server,
-                                     bool may_wait) const;
+    void on_engines_full(base::duration retry_after);
     bool still_valid();
     // Whether the response that has begun may go on at another server.
     bool may_resume() const;
@@ -143,12 +138,8 @@
     std::string organisation_;
     base::time_point deadline_{};
     std::optional<base::timer_id> deadline_timer_;
-    std::optional<std::uint64_t> place_number_;
+    std::shared_ptr<place_search> search_;
     base::time_point placed_at_{};
-    std::vector<std::string> candidates_;
-    std::size_t next_candidate_ = 0;
-    bool waiting_round_ = false;
-    base::duration shortest_retry_ = base::duration::max();
     std::set<std::string> avoided_;
     std::optional<attempt> attempt_;
     event_relay relay_;
--- a/src/entry/call_placement.cpp
+++ b/src/entry/call_placement.cpp
@@ -11,13 +11,8 @@
 namespace {
 
 using std::chrono::duration_cast;
-using std::chrono::milliseconds;
 using seconds = std::chrono::duration<double>;
 
-// Engines that are asked for a place before a request waits at the first.
-constexpr std::size_t engine_candidates = 3;
-// When no schedule said when to come back.
-constexpr milliseconds longest_full_retry{20000};
 
 }  // namespace
 
@@ -86,143 +81,73 @@
 }
 
 void call::place_engine() {
-    const auto all = environment_.engines.of(service_->name);
-    std::vector<overload::engine_candidate> usable;
-    usable.reserve(all.size());
-    const bool any_limited = environment_.status.any_limited();
-    const auto probed = environment_.reach.due_probe();
-    std::ranges::copy_if(
-        all, std::back_inserter(usable), [&](const auto& each) {
-            const std::string& domain = each.server->failure_domain;
-            return !avoided_.contains(each.server->id) &&
-                   (!environment_.reach.is_cut_off(domain) ||
-                    domain == probed) &&
-                   (!any_limited ||
-                    environment_.status.allows(each.server->id));
-        });
-    if (usable.empty()) {
-        // Every engine failed of late: one of them may be back.
-        std::ranges::copy_if(all, std::back_inserter(usable),
-                             [&](const auto& each) {
-                                 return !avoided_.contains(each.server->id);
-                             });
-    }
-    std::ranges::for_each(usable, [&](auto& each) {
-        each.full = environment_.schedule.was_full(each.server->id);
-    });
-    const auto chosen = overload::choose_engines(
-        {description_.prompt, environment_.failure_domain,
-         base::stable_hash(description_.id), !avoided_.empty()},
-        usable,
-        overload::has_far_homes(description_.prompt)
-            ? environment_.heat.homes(
-                  overload::shared_parts(description_.prompt).back().id)
-            : engine_candidates);
-    candidates_.clear();
-    std::ranges::transform(chosen, std::back_inserter(candidates_),
-                           [](const auto* server) { return server->id; });
-    // Each ask costs a late host a turn of its loop. Requests that ask around
-    // before they wait would be too late to be served, and the organisation
-    // whose callers come to this host would lose its share to others.
-    next_candidate_ = environment_.load.is_late() ? candidates_.size() : 0;
-    waiting_round_ = false;
-    if (candidates_.empty()) {
-        refuse("no backend server", no_server_retry);
-        return;
-    }
-    ask_next_engine();
+    const auto target = route_->target_latency;
+    const auto start_by =
+        response_started_
+            ? environment_.loop.now() + target
+            : request_.arrived_at + duration_cast<base::duration>(
+                                        waiting_share * seconds(target));
+    const auto give_up_by =
+        response_started_ ? start_by : request_.arrived_at + target;
+    const auto if_running = [weak = weak_from_this()](auto run) {
+        const auto self = weak.lock();
+        if (self && !self->ended_) {
+            run(*self);
+        }
+    };
+    search_ = std::make_shared<place_search>(
+        environment_.search, describe_place(),
+        search_hooks{[if_running](const place_answer& answer,
+                                  const std::string& server) {
+                         if_running([&](call& self) {
+                             self.on_place(answer, server);
+                         });
+                     },
+                     [if_running] {
+                         if_running([](call& self) {
+                             self.refuse("no backend server", no_server_retry);
+                         });
+                     },
+                     [if_running](base::duration retry_after) {
+                         if_running([&](call& self) {
+                             self.on_engines_full(retry_after);
+                         });
+                     }});
+    search_->start(avoided_, start_by, give_up_by);
 }
 
-place_request call::make_place_request(
-    const fleet_state::backend_server& server, bool may_wait) const {
-    place_request result;
-    result.engine = start_name(server);
-    result.server = server.id;
-    result.failure_domain = server.failure_domain;
+wanted_place call::describe_place() const {
+    wanted_place result;
+    result.service = service_->name;
     result.options = {.slots = service_->engine_slots,
                       .memory_tokens = service_->engine_memory_tokens};
+    result.prompt = description_.prompt;
+    result.spread = base::stable_hash(description_.id);
     auto& work = result.work;
     work.organisation = organisation_;
-    const auto shared = overload::shared_parts(description_.prompt);
-    work.shared.assign(shared.begin(), shared.end());
     work.own_tokens = description_.prompt.empty()
                           ? description_.prompt_tokens
                           : description_.prompt.back().tokens;
     work.output_tokens = fleet_state::likely_output_tokens(description_);
     work.cost = fleet_state::cost_in_shares(description_);
-    const auto target = route_->target_latency;
-    work.start_by =
-        response_started_
-            ? environment_.loop.now() + target
-            : request_.arrived_at + duration_cast<base::duration>(
-                                        waiting_share * seconds(target));
-    work.give_up_by =
-        response_started_ ? work.start_by : request_.arrived_at + target;
-    work.may_wait = may_wait;
     return result;
 }
 
-void call::ask_next_engine() {
-    const bool last_round = next_candidate_ >= candidates_.size();
-    if (last_round && std::exchange(waiting_round_, true)) {
-        refuse_full();
-        return;
-    }
-    const std::string id =
-        last_round ? candidates_.front() : candidates_[next_candidate_++];
-    if (!waiting_round_ && environment_.schedule.was_full(id)) {
-        ask_next_engine();
-        return;
-    }
-    const auto* server = environment_.servers.find_available(id);
-    if (server == nullptr) {
-        if (waiting_round_) {
-            refuse_full();
-        } else {
-            ask_next_engine();
-        }
-        return;
-    }
-    const auto number = environment_.schedule.ask(
-        make_place_request(*server, waiting_round_),
-        [self = shared_from_this(), id](const place_answer& answer) {
-            if (!self->ended_) {
-                self->on_place(answer, id);
-            }
-        });
-    // The answer may have come already, and with it another ask.
-    if (!ended_ && !attempt_ && !place_number_) {
-        place_number_ = number;
-    }
-}
-
-void call::refuse_full() {
-    if (overload::has_far_homes(description_.prompt)) {
-        environment_.heat.on_full(
-            overload::shared_parts(description_.prompt).back().id);
-    }
-    refuse("engines full",
-           std::min<base::duration>(shortest_retry_, longest_full_retry));
+void call::on_engines_full(base::duration retry_after) {
+    report_.owner = search_->owner();
+    refuse("engines full", retry_after);
 }
 
 void call::on_place(const place_answer& answer, const std::string& server_id) {
     report_.owner = answer.owner;
-    if (!answer.granted) {
-        place_number_.reset();
-        shortest_retry_ = std::min(shortest_retry_, answer.retry_after);
-        ask_next_engine();
-        return;
-    }
     if (attempts_sent_ == 0) {
         environment_.shares.on_granted(
             organisation_, fleet_state::cost_in_shares(description_));
     }
-    place_number_ = answer.number;
     placed_at_ = environment_.loop.now();
     const auto* server = environment_.servers.find_available(server_id);
     if (server == nullptr) {
-        release_place();
-        ask_next_engine();
+        search_->skip();
         return;
     }
     send(*server);
