Keep shares by what the whole fleet granted

Cause: each engine's schedule ordered and refused work by what that engine had granted in two seconds. The long work of a small organisation meets the few engines that are homes of its sessions' parts, and under overload all of it waited at the first home, as that was where a search waited when every home was full. There it was served as much as the others, who were also served everywhere else.

Ruled out: refusals by hosts without processor time.

Hosts now report to a collector of their failure domain what their callers asked and were granted; collectors exchange the sums and tell them to their hosts. Owners of engines order, refuse and compute Retry-After by these sums, and let work of an organisation that is short of its share wait up to its target. Work of an organisation that got less than the level of the fleet waits at any home of its part and may use further homes; that of others stays at two, as each home reads the part once more.

Open: organisations whose callers all reach one host without processor time.

--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -118,12 +118,14 @@
                loop_.clock()),
       heat_(loop_.clock()),
       reach_(settings_.host.failure_domain, loop_.clock()),
+      shares_(loop_.clock()),
+      fleet_shares_(loop_.clock()),
       reporter_(log_, figures_, loop_.clock()),
       load_(loop_.clock()),
       pacer_(loop_.clock()),
       datagrams_(loop_.context()),
       schedule_(
-          hosts_, loop_.clock(),
+          hosts_, fleet_shares_, loop_.clock(),
           {[this](base::duration delay, std::function<void()> run) {
                return loop_.after(delay, std::move(run));
            },
@@ -132,6 +134,12 @@
               send_datagram(address, bytes);
           },
           incarnation_),
+      share_exchange_(
+          hosts_, shares_, fleet_shares_, loop_.clock(),
+          [this](const std::string& address, std::string_view bytes) {
+              send_datagram(address, bytes);
+          },
+          incarnation_),
       fleet_(
           loop_, settings_.store.address, servers_, hosts_,
           [this](const std::string& address, std::string_view bytes) {
@@ -159,7 +167,7 @@
                    pacer_,
                    from_ms(settings_.bounds.delivery_ms),
                    {servers_, engines_, status_, schedule_, heat_, reach_,
-                    load_, settings_.host.failure_domain}},
+                    load_, fleet_shares_, settings_.host.failure_domain}},
       callers_(
           loop_,
           {[this](const std::shared_ptr<caller_connection>& caller,
@@ -210,6 +218,7 @@
     loop_.every(overload::host_load::sample_interval, [this] { tick(); });
     loop_.every(schedule_link::inventory_interval,
                 [this] { schedule_.exchange_inventory(); });
+    loop_.every(share_exchange::interval, [this] { share_exchange_.tick(); });
     loop_.every(housekeeping_interval, [this] { housekeeping(); });
     loop_.every(share_lines_interval, [this] { log_shares(); });
     loop_.every(summary_interval, [this] { log_summary(); });
@@ -337,6 +346,7 @@
     }
     hosts_.on_heard(message->host);
     schedule_.on_message(from, *message);
+    share_exchange_.on_message(from, *message);
     fleet_.on_message(from, *message);
 }
 
@@ -575,6 +585,7 @@
 void entry_node::housekeeping() {
     pool_.reap();
     heat_.prune();
+    shares_.prune();
     retries_.set_hosts(hosts_.announced());
     if (is_ready() != was_ready_) {
         was_ready_ = is_ready();
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -13,6 +13,7 @@
 #include "entry/call.hpp"
 #include "entry/entry_settings.hpp"
 #include "entry/fleet_watch.hpp"
+#include "entry/share_exchange.hpp"
 #include "entry/http_listener.hpp"
 #include "entry/line_writer.hpp"
 #include "logging/logging.hpp"
@@ -85,6 +86,7 @@
     overload::part_heat heat_;
     overload::domain_reach reach_;
     overload::share_meter shares_;
+    overload::fleet_shares fleet_shares_;
     call_reporter reporter_;
     overload::host_load load_;
     read_pacer pacer_;
@@ -92,6 +94,7 @@
     asio::ip::udp::socket datagrams_;
     std::array<char, 65536> datagram_buffer_{};
     schedule_link schedule_;
+    share_exchange share_exchange_;
     fleet_watch fleet_;
     call_environment environment_;
     http_listener callers_;
--- a/src/entry/host_directory.cpp
+++ b/src/entry/host_directory.cpp
@@ -115,6 +115,12 @@
 
 const entry_host& host_directory::owner(std::string_view engine,
                                         std::string_view failure_domain) const {
+    return owner(engine, failure_domain, {});
+}
+
+const entry_host& host_directory::owner(
+    std::string_view engine, std::string_view failure_domain,
+    const std::set<std::string, std::less<>>& excluded) const {
     const base::time_point now = clock_.now();
     const std::uint64_t key = base::stable_hash(engine);
     const entry_host* best = &self_;
@@ -122,7 +128,7 @@
         self_.failure_domain == failure_domain,
         base::stable_hash(self_.name, key)};
     for (const auto& [name, known] : hosts_) {
-        if (known.suspect_until > now) {
+        if (known.suspect_until > now || excluded.contains(name)) {
             continue;
         }
         const std::pair<bool, std::uint64_t> rank{
--- a/src/entry/host_directory.hpp
+++ b/src/entry/host_directory.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -59,6 +60,10 @@
     // of those is in sight, else of all.
     const entry_host& owner(std::string_view engine,
                             std::string_view failure_domain) const;
+    // The same among the hosts that are not in `excluded`, and this one.
+    const entry_host& owner(
+        std::string_view engine, std::string_view failure_domain,
+        const std::set<std::string, std::less<>>& excluded) const;
 
     const entry_host& self() const { return self_; }
     // Hosts that announced themselves lately, this one included.
--- a/src/entry/place_search.cpp
+++ b/src/entry/place_search.cpp
@@ -64,25 +64,40 @@
     const auto chosen = overload::choose_engines(
         {wanted_.prompt, environment_.failure_domain, wanted_.spread,
          !avoided.empty()},
-        usable,
-        overload::has_far_homes(wanted_.prompt)
-            ? environment_.heat.homes(
-                  overload::shared_parts(wanted_.prompt).back().id)
-            : engine_candidates);
+        usable, candidate_count());
     std::vector<std::string> result;
     std::ranges::transform(chosen, std::back_inserter(result),
                            [](const auto* server) { return server->id; });
     return result;
 }
 
+// A further home reads the part once more, which takes from all. An
+// organisation that got as much as any can get is refused some work in any
+// case; one that got less must not be held up by the engines of its part.
+bool place_search::may_spread() const {
+    return environment_.shares.is_below_level(wanted_.work.organisation);
+}
+
+std::size_t place_search::candidate_count() const {
+    if (!overload::has_far_homes(wanted_.prompt)) {
+        return engine_candidates;
+    }
+    return may_spread()
+               ? environment_.heat.homes(
+                     overload::shared_parts(wanted_.prompt).back().id)
+               : overload::part_heat::calm_homes;
+}
+
 void place_search::ask_next() {
     const bool last_round = next_candidate_ >= candidates_.size();
     if (last_round && std::exchange(waiting_round_, true)) {
         refuse_full();
         return;
     }
-    const std::string id =
-        last_round ? candidates_.front() : candidates_[next_candidate_++];
+    const std::size_t waits_at =
+        may_spread() ? wanted_.spread % candidates_.size() : 0;
+    const std::string id = last_round ? candidates_[waits_at]
+                                      : candidates_[next_candidate_++];
     if (!waiting_round_ && environment_.schedule.was_full(id)) {
         ask_next();
         return;
--- a/src/entry/place_search.hpp
+++ b/src/entry/place_search.hpp
@@ -34,6 +34,7 @@
     overload::part_heat& heat;
     overload::domain_reach& reach;
     const overload::host_load& load;
+    const overload::fleet_shares& shares;
     std::string failure_domain;
 };
 
@@ -87,6 +88,9 @@
 private:
     std::vector<std::string> candidates(
         const std::set<std::string>& avoided) const;
+    std::size_t candidate_count() const;
+    // Whether the request may go to further homes of its part.
+    bool may_spread() const;
     void ask_next();
     void ask(const fleet_state::backend_server& server);
     void on_answer(std::uint64_t search, const place_answer& answer,
--- a/src/entry/schedule_link.cpp
+++ b/src/entry/schedule_link.cpp
@@ -23,10 +23,12 @@
 
 }  // namespace
 
-schedule_link::schedule_link(host_directory& hosts, base::clock clock,
-                             timer_hooks timers, datagram_sender send,
-                             std::uint64_t incarnation)
+schedule_link::schedule_link(host_directory& hosts,
+                             const overload::fleet_shares& shares,
+                             base::clock clock, timer_hooks timers,
+                             datagram_sender send, std::uint64_t incarnation)
     : hosts_(hosts),
+      shares_(shares),
       clock_(std::move(clock)),
       timers_(std::move(timers)),
       send_(std::move(send)),
@@ -37,7 +39,7 @@
     auto& schedule = schedules_[engine];
     if (!schedule) {
         schedule = std::make_unique<overload::engine_scheduler>(
-            options, clock_,
+            options, shares_, clock_,
             overload::engine_hooks{
                 [this, engine](const work_id& id) {
                     answer(id, engine, engine_decision::granted, {});
--- a/src/entry/schedule_link.hpp
+++ b/src/entry/schedule_link.hpp
@@ -74,8 +74,9 @@
 
     using answer_hook = std::function<void(const place_answer&)>;
 
-    schedule_link(host_directory& hosts, base::clock clock, timer_hooks timers,
-                  datagram_sender send, std::uint64_t incarnation);
+    schedule_link(host_directory& hosts, const overload::fleet_shares& shares,
+                  base::clock clock, timer_hooks timers, datagram_sender send,
+                  std::uint64_t incarnation);
 
     // Asks for a place. The answer comes exactly once, possibly before the
     // function returns, unless `release` is called first.
@@ -146,6 +147,7 @@
                 overload::engine_decision decision, base::duration retry_after);
 
     host_directory& hosts_;
+    const overload::fleet_shares& shares_;
     base::clock clock_;
     timer_hooks timers_;
     datagram_sender send_;
--- a/src/entry/schedule_link_test.cpp
+++ b/src/entry/schedule_link_test.cpp
@@ -24,7 +24,7 @@
              const std::string& domain)
             : directory({name, name + ":1", domain}, all.time.view()),
               link(
-                  directory, all.time.view(),
+                  directory, all.shares, all.time.view(),
                   {[&all](duration delay, std::function<void()> run) {
                        return all.timers.schedule(all.time.now() + delay,
                                                   std::move(run));
@@ -88,6 +88,7 @@
     }
 
     paused_clock time;
+    bronzehub::overload::fleet_shares shares{time.view()};
     timer_queue timers;
     std::deque<datagram> sent;
     std::vector<place_answer> answers;
--- a/src/entry/schedule_messages.hpp
+++ b/src/entry/schedule_messages.hpp
@@ -27,6 +27,11 @@
     listing = 8,
     hello = 9,
     farewell = 10,
+    // What a host's callers asked and got, of a failure domain's hosts, and of
+    // the fleet's.
+    host_shares = 11,
+    domain_shares = 12,
+    fleet_shares = 13,
 };
 
 // What a reader of the store knows, and when it was certainly the newest.
@@ -88,6 +93,14 @@
                          start_within_us, give_up_within_us, may_wait, started)
 };
 
+// Recent sums of one organisation, in the unit of shares.
+struct share_message {
+    std::string organisation;
+    double asked = 0;
+    double granted = 0;
+    MSGPACK_DEFINE_ARRAY(organisation, asked, granted)
+};
+
 struct schedule_message {
     static constexpr std::uint32_t current_version = 1;
 
@@ -109,11 +122,13 @@
     // `knowledge`, `listing`: at most one.
     std::vector<knowledge_message> knowledge;
     std::vector<listing_message> listing;
-    // `hello`: where the sender is.
+    // `hello`, `domain_shares`: where the sender is.
     std::string failure_domain;
+    // `host_shares`, `domain_shares`, `fleet_shares`.
+    std::vector<share_message> shares;
     MSGPACK_DEFINE_ARRAY(version, type, host, incarnation, work, number, engine,
                          decision, retry_after_ms, in_time, knowledge, listing,
-                         failure_domain)
+                         failure_domain, shares)
 };
 
 std::string encode_message(const schedule_message& message);
--- a/src/overload/engine_scheduler.cpp
+++ b/src/overload/engine_scheduler.cpp
@@ -26,9 +26,11 @@
 
 }  // namespace
 
-engine_scheduler::engine_scheduler(engine_options options, base::clock clock,
+engine_scheduler::engine_scheduler(engine_options options,
+                                   const fleet_shares& fleet, base::clock clock,
                                    engine_hooks hooks)
     : options_(options),
+      fleet_(fleet),
       clock_(clock),
       hooks_(std::move(hooks)),
       rates_(std::move(clock)) {}
@@ -233,21 +235,27 @@
     reconcile(host, {}, base::time_point::max());
 }
 
+double engine_scheduler::served(const std::string& organisation) const {
+    // The engine's own grants order organisations that the fleet served alike,
+    // and count before the fleet's sums contain them.
+    return fleet_.granted(organisation) + rates_.granted(organisation);
+}
+
 std::list<engine_work>::iterator engine_scheduler::next_in_order() {
     return std::ranges::min_element(
         waiting_, {}, [this](const engine_work& work) {
-            return rates_.granted(work.organisation);
+            return served(work.organisation);
         });
 }
 
 std::list<engine_work>::iterator engine_scheduler::last_in_order() {
-    // The latest arrival of the organisation that was granted most.
+    // The latest arrival of the organisation that was served most.
     auto last = waiting_.begin();
     double most = -1;
     for (auto entry = waiting_.begin(); entry != waiting_.end(); ++entry) {
-        const double granted = rates_.granted(entry->organisation);
-        if (granted >= most) {
-            most = granted;
+        const double got = served(entry->organisation);
+        if (got >= most) {
+            most = got;
             last = entry;
         }
     }
@@ -270,13 +278,22 @@
 
 bool engine_scheduler::is_short_of_share(
     const std::string& organisation) const {
+    if (fleet_.known()) {
+        return fleet_.is_short(organisation);
+    }
     return rates_.granted(organisation) < short_share * rates_.most_granted();
 }
 
+base::time_point engine_scheduler::latest_start(const engine_work& work) const {
+    return is_short_of_share(work.organisation)
+               ? std::max(work.start_by, work.give_up_by)
+               : work.start_by;
+}
+
 bool engine_scheduler::is_hopeless(const engine_work& work,
                                    std::size_t ahead) const {
     const seconds wait(release_interval_s_ * static_cast<double>(ahead + 1));
-    return clock_.now() + to_duration(wait) > work.start_by;
+    return clock_.now() + to_duration(wait) > latest_start(work);
 }
 
 void engine_scheduler::refuse(std::list<engine_work>::iterator entry) {
@@ -292,11 +309,7 @@
     auto entry = waiting_.begin();
     while (entry != waiting_.end()) {
         const auto current = entry++;
-        const base::time_point latest =
-            is_short_of_share(current->organisation)
-                ? std::max(current->start_by, current->give_up_by)
-                : current->start_by;
-        if (latest < now) {
+        if (latest_start(*current) < now) {
             refuse(current);
         }
     }
@@ -304,6 +317,11 @@
 }
 
 base::duration engine_scheduler::retry_after(const std::string& organisation) {
+    if (fleet_.known()) {
+        return std::clamp<base::duration>(fleet_.backlog_time(organisation),
+                                          to_duration(shortest_retry),
+                                          to_duration(longest_retry));
+    }
     const double granted = rates_.granted(organisation);
     const double refused = rates_.refused(organisation);
     const seconds wait =
--- a/src/overload/engine_scheduler.hpp
+++ b/src/overload/engine_scheduler.hpp
@@ -23,6 +23,7 @@
 
 #include "base/clock.hpp"
 #include "fleet_state/request_description.hpp"
+#include "overload/fleet_shares.hpp"
 #include "overload/service_rates.hpp"
 
 namespace bronzehub::overload {
@@ -80,8 +81,10 @@
     // answers that grow longer than expected.
     static constexpr double memory_share = 0.9;
 
-    engine_scheduler(engine_options options, base::clock clock,
-                     engine_hooks hooks);
+    // `fleet` outlives the schedule. While it knows nothing, what this engine
+    // granted decides alone.
+    engine_scheduler(engine_options options, const fleet_shares& fleet,
+                     base::clock clock, engine_hooks hooks);
 
     // Submitting known work again returns its present state.
     engine_decision submit(engine_work work);
@@ -107,8 +110,9 @@
     // Releases everything of a host that was lost.
     void drop_host(const std::string& host);
 
-    // Part of what the most served organisation was granted, below which an
-    // organisation is short of its share.
+    // Part of what the most served organisation was granted on this engine,
+    // below which an organisation is short of its share while the fleet's sums
+    // are not known.
     static constexpr double short_share = 0.5;
 
     // Refuses work whose start is no longer in time. Call every few ms while
@@ -149,6 +153,8 @@
     void finish(std::map<work_id, granted_work>::iterator entry);
     void use_parts(const engine_work& work);
     void evict_parts();
+    // What the organisation got: the lowest is next, the highest gives way.
+    double served(const std::string& organisation) const;
     std::list<engine_work>::iterator next_in_order();
     std::list<engine_work>::iterator last_in_order();
     void grant_waiting();
@@ -156,7 +162,10 @@
     bool is_hopeless(const engine_work& work, std::size_t ahead) const;
     void refuse(std::list<engine_work>::iterator entry);
 
+    base::time_point latest_start(const engine_work& work) const;
+
     engine_options options_;
+    const fleet_shares& fleet_;
     base::clock clock_;
     engine_hooks hooks_;
     std::map<work_id, granted_work> running_;
--- a/src/overload/engine_scheduler_test.cpp
+++ b/src/overload/engine_scheduler_test.cpp
@@ -19,7 +19,7 @@
 // One engine's schedule with what its hooks were told.
 struct bench {
     explicit bench(bronzehub::overload::engine_options options)
-        : tested(options, time.view(),
+        : tested(options, fleet, time.view(),
                  engine_hooks{[this](const work_id& id) {
                                   granted.push_back(id.number);
                               },
@@ -41,6 +41,7 @@
     }
 
     paused_clock time;
+    bronzehub::overload::fleet_shares fleet{time.view()};
     std::vector<std::uint64_t> granted;
     std::vector<std::uint64_t> refused;
     duration last_retry{};
@@ -205,3 +206,34 @@
     engine.tested.drop_host("host/1");
     CHECK(engine.tested.running() == 0);
 }
+
+// Load pattern: the work of an organisation meets few engines, on which it is
+// served as much as others, while these are served on all engines. Guards
+// against an order that knows one engine only.
+TEST_CASE("work of the organisation that the fleet served least is next") {
+    bench engine({.slots = 1});
+    engine.tested.submit(engine.work(1, "few engines"));
+    engine.fleet.on_sums(
+        std::vector<bronzehub::overload::organisation_share>{
+            {"all engines", 900000, 300000}, {"few engines", 300000, 50000}});
+    engine.tested.submit(engine.work(2, "all engines"));
+    engine.tested.submit(engine.work(3, "few engines"));
+    engine.tested.release({"host/1", 1});
+    CHECK(engine.granted == std::vector<std::uint64_t>{3});
+}
+
+// Guards against an organisation far below its share that is told to stay away
+// for many seconds, as one engine granted it nothing.
+TEST_CASE("an organisation comes back after its backlog of the whole fleet") {
+    const auto [asked, granted, low, high] =
+        GENERATE(table<double, double, duration, duration>(
+            {{300000, 100000, 4s, 4s},
+             {300000, 290000, 250ms, 250ms},
+             {300000, 1000, 20s, 20s}}));
+    bench engine({.slots = 1});
+    engine.fleet.on_sums(
+        std::vector<bronzehub::overload::organisation_share>{
+            {"a", asked, granted}, {"b", 900000, 900000}});
+    CHECK(engine.tested.retry_after("a") >= low);
+    CHECK(engine.tested.retry_after("a") <= high);
+}
--- a/src/overload/service_rates.cpp
+++ b/src/overload/service_rates.cpp
@@ -5,18 +5,19 @@
 
 namespace bronzehub::overload {
 
-double service_rates::decay(const sums& entry) const {
+double service_rates::decay(const decaying_sums& entry) const {
     using seconds = std::chrono::duration<double>;
     return std::exp(-seconds(clock_.now() - entry.at) / seconds(memory));
 }
 
-service_rates::sums& service_rates::refreshed(std::string_view organisation) {
+service_rates::decaying_sums& service_rates::refreshed(
+    std::string_view organisation) {
     auto found = sums_.find(organisation);
     if (found == sums_.end()) {
-        found = sums_.emplace(std::string(organisation), sums{}).first;
+        found = sums_.emplace(std::string(organisation), decaying_sums{}).first;
         found->second.at = clock_.now();
     }
-    sums& entry = found->second;
+    decaying_sums& entry = found->second;
     const double factor = decay(entry);
     entry.granted *= factor;
     entry.refused *= factor;
@@ -52,6 +53,17 @@
     return most;
 }
 
+std::vector<organisation_share> service_rates::sums() const {
+    std::vector<organisation_share> result;
+    for (const auto& [organisation, entry] : sums_) {
+        const double factor = decay(entry);
+        result.push_back({organisation,
+                          (entry.granted + entry.refused) * factor,
+                          entry.granted * factor});
+    }
+    return result;
+}
+
 void service_rates::prune() {
     std::erase_if(sums_, [this](const auto& entry) {
         const double factor = decay(entry.second);
--- a/src/overload/service_rates.hpp
+++ b/src/overload/service_rates.hpp
@@ -9,11 +9,20 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/clock.hpp"
 
 namespace bronzehub::overload {
 
+// Sums that decay with `service_rates::memory`, in the unit of shares.
+struct organisation_share {
+    std::string organisation;
+    // Granted and refused.
+    double asked = 0;
+    double granted = 0;
+};
+
 // Not thread-safe. Costs are in the unit of shares.
 class service_rates {
 public:
@@ -30,22 +39,24 @@
     double refused(std::string_view organisation) const;
     // The sum of the organisation that was granted most.
     double most_granted() const;
+    // Of all organisations.
+    std::vector<organisation_share> sums() const;
 
     // Forgets organisations whose sums are negligible.
     void prune();
 
 private:
-    struct sums {
+    struct decaying_sums {
         double granted = 0;
         double refused = 0;
         base::time_point at;
     };
 
-    double decay(const sums& entry) const;
-    sums& refreshed(std::string_view organisation);
+    double decay(const decaying_sums& entry) const;
+    decaying_sums& refreshed(std::string_view organisation);
 
     base::clock clock_;
-    std::map<std::string, sums, std::less<>> sums_;
+    std::map<std::string, decaying_sums, std::less<>> sums_;
 };
 
 }  // namespace bronzehub::overload
--- a/src/overload/share_meter.cpp
+++ b/src/overload/share_meter.cpp
@@ -24,6 +24,7 @@
 
 void share_meter::on_granted(std::string_view organisation, double cost) {
     add(organisation, &share_counts::granted, cost);
+    recent_.on_granted(organisation, cost);
 }
 
 void share_meter::on_refused(std::string_view organisation, double cost,
@@ -32,6 +33,7 @@
         where == refusal_point::host ? &share_counts::refused_by_host
                                      : &share_counts::refused_by_engines,
         cost);
+    recent_.on_refused(organisation, cost);
 }
 
 std::vector<share_meter::line> share_meter::take_refused(std::size_t most) {
--- a/src/overload/share_meter.hpp
+++ b/src/overload/share_meter.hpp
@@ -13,6 +13,9 @@
 #include <string_view>
 #include <vector>
 
+#include "base/clock.hpp"
+#include "overload/service_rates.hpp"
+
 namespace bronzehub::overload {
 
 enum class refusal_point : std::uint8_t {
@@ -42,6 +45,8 @@
         share_counts since_last;
     };
 
+    explicit share_meter(base::clock clock) : recent_(std::move(clock)) {}
+
     void on_asked(std::string_view organisation, double cost);
     void on_granted(std::string_view organisation, double cost);
     void on_refused(std::string_view organisation, double cost,
@@ -50,6 +55,10 @@
     // Since the start.
     const counts& totals() const { return totals_; }
 
+    // What was asked and granted of late.
+    std::vector<organisation_share> recent() const { return recent_.sums(); }
+    void prune() { recent_.prune(); }
+
     // The organisations that were refused most since the last call, at most
     // `most` of them, with what they asked and got in that time.
     std::vector<line> take_refused(std::size_t most);
@@ -61,6 +70,7 @@
 
     counts totals_;
     counts since_last_;
+    service_rates recent_;
 };
 
 }  // namespace bronzehub::overload
--- a/src/overload/share_meter_test.cpp
+++ b/src/overload/share_meter_test.cpp
@@ -4,6 +4,7 @@
 
 namespace {
 
+using bronzehub::base::paused_clock;
 using bronzehub::overload::refusal_point;
 using bronzehub::overload::share_meter;
 
@@ -11,7 +12,8 @@
 
 // Guards against a refusal whose place can't be told from logs and metrics.
 TEST_CASE("refusals are counted by organisation and by who refused") {
-    share_meter tested;
+    paused_clock time;
+    share_meter tested(time.view());
     tested.on_asked("a", 100);
     tested.on_refused("a", 60, refusal_point::host);
     tested.on_refused("a", 30, refusal_point::engines);
@@ -30,7 +32,8 @@
 
 // Guards against a log volume that grows with the number of organisations.
 TEST_CASE("the most refused organisations are told first") {
-    share_meter tested;
+    paused_clock time;
+    share_meter tested(time.view());
     tested.on_refused("little", 1, refusal_point::host);
     tested.on_refused("much", 9, refusal_point::engines);
     tested.on_refused("some", 5, refusal_point::host);
--- a/tests/replay/fleet_replay.cpp
+++ b/tests/replay/fleet_replay.cpp
@@ -72,8 +72,10 @@
           heat(all.time_.view()),
           reach(domain, all.time_.view()),
           load(all.time_.view()),
+          meter(all.time_.view()),
+          shares(all.time_.view()),
           schedule(
-              directory, all.time_.view(),
+              directory, shares, all.time_.view(),
               {[&all, this](duration delay, std::function<void()> run) {
                    return all.timers_.schedule(
                        all.time_.now() + delay,
@@ -90,8 +92,15 @@
                   all.deliver(from, to, std::string(bytes));
               },
               incarnation),
-          search{servers, engines, status, schedule,
-                 heat,    reach,   load,   domain} {}
+          exchange(
+              directory, meter, shares, all.time_.view(),
+              [&all, from = absl::StrCat("host-", index, ":1")](
+                  const std::string& to, std::string_view bytes) {
+                  all.deliver(from, to, std::string(bytes));
+              },
+              incarnation),
+          search{servers, engines, status, schedule, heat,
+                 reach,   load,    shares, domain} {}
 
     // Expires with the host, so that nothing of it runs after a restart.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
@@ -102,7 +111,10 @@
     overload::part_heat heat;
     overload::domain_reach reach;
     overload::host_load load;
+    overload::share_meter meter;
+    overload::fleet_shares shares;
     entry::schedule_link schedule;
+    entry::share_exchange exchange;
     entry::search_environment search;
 };
 
@@ -186,6 +198,7 @@
         if (message) {
             receiver.directory.on_heard(message->host);
             receiver.schedule.on_message(from, *message);
+            receiver.exchange.on_message(from, *message);
         }
     });
 }
@@ -274,7 +287,12 @@
                 if_alive([&] { placed(of, at, server); });
             },
             [this, of] { refused(of, 1s); },
-            [this, of](duration retry) { refused(of, retry); }});
+            [this, of, at](duration retry) {
+                hosts_.at(at)->meter.on_refused(
+                    of->organisation->name, of->wanted.work.cost,
+                    overload::refusal_point::engines);
+                refused(of, retry);
+            }});
     of->search->start(of->avoided, of->arrived + of->kind->target /
                                                      waiting_divisor,
                       of->arrived + of->kind->target);
@@ -283,6 +301,8 @@
 void fleet_replay::placed(const std::shared_ptr<request>& of, std::size_t at,
                           const std::string& server) {
     engine& on = *engines_.at(server);
+    hosts_.at(at)->meter.on_granted(of->organisation->name,
+                                    of->wanted.work.cost);
     const auto alive = std::weak_ptr<bool>(hosts_.at(at)->alive);
     const auto release = [of, alive] {
         if (!alive.expired()) {
@@ -428,6 +448,8 @@
                   [this, i] { hosts_[i]->schedule.tick(); });
             every(entry::schedule_link::inventory_interval,
                   [this, i] { hosts_[i]->schedule.exchange_inventory(); });
+            every(entry::share_exchange::interval,
+                  [this, i] { hosts_[i]->exchange.tick(); });
         });
     }
     const time_point end = start_ + options_.length;
--- a/tests/replay/fleet_replay.hpp
+++ b/tests/replay/fleet_replay.hpp
@@ -16,6 +16,7 @@
 
 #include "base/timer_queue.hpp"
 #include "entry/place_search.hpp"
+#include "entry/share_exchange.hpp"
 
 namespace bronzehub::testing {
 
