Refuse by shares on a host without processor time

Cause: a late host drew the requests to refuse evenly from all, before it knew whose they were. A request whose turn it is is now let in when its organisation was let in less than half as often as the one with most, and is below the level of the fleet; another is refused for it, so that as many are refused.

This does not help an organisation that is alone on its host.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -50,17 +50,37 @@
       request_(std::move(request)),
       on_end_(std::move(on_end)) {}
 
+std::string_view organisation_of(
+    const fleet_state::configuration& configuration,
+    const fleet_state::request_description& request) {
+    const auto* holder =
+        request.key.empty() ? nullptr : configuration.find_key(request.key);
+    return holder == nullptr ? std::string_view() : holder->name;
+}
+
 void note_refused_by_host(overload::share_meter& shares,
                           const fleet_state::configuration& configuration,
                           const fleet_state::request_description& request) {
     const double cost = fleet_state::cost_in_shares(request);
-    const auto* holder = configuration.find_key(request.key);
-    if (cost > 0 && holder != nullptr) {
-        shares.on_asked(holder->name, cost);
-        shares.on_refused(holder->name, cost, overload::refusal_point::host);
+    const std::string_view holder = organisation_of(configuration, request);
+    if (cost > 0 && !holder.empty()) {
+        shares.on_asked(holder, cost);
+        shares.on_refused(holder, cost, overload::refusal_point::host);
     }
 }
 
+// Whether the host takes the request. Those that were let in with their
+// connections are only counted.
+bool call::is_admitted() {
+    const auto holder = organisation_of(*configuration_, description_);
+    if (!caller_->take_admission() && environment_.admission.refuses_next() &&
+        !environment_.admission.passes(holder)) {
+        return false;
+    }
+    environment_.admission.on_admitted(holder);
+    return true;
+}
+
 base::duration call::time_left() const {
     return deadline_ - environment_.loop.now();
 }
@@ -73,7 +93,7 @@
         refuse("no configuration yet", store_retry);
         return;
     }
-    if (!caller_->take_admission() && !environment_.load.accept()) {
+    if (!is_admitted()) {
         // The caller's next connection may reach a host with time.
         caller_->close_after_response();
         note_refused_by_host(environment_.shares, *configuration_,
@@ -99,8 +119,8 @@
     choose_service();
     environment_.retries.on_request(service_->name);
     if (engine_work()) {
-        environment_.shares.on_asked(
-            organisation_, fleet_state::cost_in_shares(description_));
+        environment_.shares.on_asked(organisation_,
+                                     fleet_state::cost_in_shares(description_));
     }
     place();
 }
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -21,6 +21,7 @@
 #include "entry/read_pacer.hpp"
 #include "overload/attempt_policy.hpp"
 #include "overload/domain_reach.hpp"
+#include "overload/host_admission.hpp"
 #include "overload/host_load.hpp"
 #include "overload/retry_window.hpp"
 #include "overload/share_meter.hpp"
@@ -45,12 +46,18 @@
     // Whether the daemon takes no new requests any more.
     std::function<bool()> draining;
     overload::host_load& load;
+    overload::host_admission& admission;
     read_pacer& pacer;
     // Time in which an event of a stream must be passed on.
     base::duration delivery_limit{};
     search_environment search;
 };
 
+// Name of the organisation that holds the request's key; empty: none.
+std::string_view organisation_of(
+    const fleet_state::configuration& configuration,
+    const fleet_state::request_description& request);
+
 // Counts a request that a late host refuses before a call begins. Requests to
 // plain services and those without a known key take no share.
 void note_refused_by_host(overload::share_meter& shares,
@@ -92,6 +99,7 @@
         std::size_t max_body_bytes = 0;
     };
 
+    bool is_admitted();
     bool find_route();
     bool check_key();
     void choose_service();
--- a/src/entry/caller_connection.hpp
+++ b/src/entry/caller_connection.hpp
@@ -47,8 +47,10 @@
     // Decides on a new connection's first request before anything is set up for
     // it. May be empty: accepted.
     std::function<bool()> accept = nullptr;
-    // Makes the response to a request that was not accepted.
-    std::function<std::string(const message_head&)> refusal = nullptr;
+    // Makes the response to a request that was not accepted. Nothing: by its
+    // head, the request is let in after all.
+    std::function<std::optional<std::string>(const message_head&)> refusal =
+        nullptr;
 };
 
 // Not thread-safe; owned by shared pointer.
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -122,6 +122,7 @@
       fleet_shares_(loop_.clock()),
       reporter_(log_, figures_, loop_.clock()),
       load_(loop_.clock()),
+      admission_(load_, fleet_shares_, loop_.clock()),
       pacer_(loop_.clock()),
       datagrams_(loop_.context()),
       schedule_(
@@ -164,6 +165,7 @@
                                                serve_on_after_stop;
                    },
                    load_,
+                   admission_,
                    pacer_,
                    from_ms(settings_.bounds.delivery_ms),
                    {servers_, engines_, status_, schedule_, heat_, reach_,
@@ -185,7 +187,7 @@
                return limits;
            },
            [this] { return closes_connections(); },
-           [this] { return load_.accept(); },
+           [this] { return !admission_.refuses_next(); },
            [this](const message_head& head) { return refuse_early(head); }}),
       readiness_(loop_, simple_hooks([this](const auto& caller, const auto&) {
                      on_ready_request(caller);
@@ -373,9 +375,12 @@
     started->start();
 }
 
-std::string entry_node::refuse_early(const message_head& head) {
+std::optional<std::string> entry_node::refuse_early(const message_head& head) {
     const auto request = platform_wire::describe_request(head.headers);
     if (const auto& configuration = fleet_.configuration()) {
+        if (admission_.passes(organisation_of(*configuration, request))) {
+            return std::nullopt;
+        }
         note_refused_by_host(shares_, *configuration, request);
     }
     call_report report;
@@ -520,14 +525,18 @@
 
 void entry_node::log_shares() {
     for (const auto& line : shares_.take_refused(share_lines)) {
-        log_.info("organisation refused",
-                  {field("organisation", line.organisation),
-                   field("asked", line.since_last.asked),
-                   field("granted", line.since_last.granted),
-                   field("refused_by_host", line.since_last.refused_by_host),
-                   field("refused_by_engines",
-                         line.since_last.refused_by_engines),
-                   field("refused_share", load_.refused_share())});
+        log_.info(
+            "organisation refused",
+            {field("organisation", line.organisation),
+             field("asked", line.since_last.asked),
+             field("granted", line.since_last.granted),
+             field("refused_by_host", line.since_last.refused_by_host),
+             field("refused_by_engines", line.since_last.refused_by_engines),
+             field("refused_share", load_.refused_share()),
+             field("fleet_asked", fleet_shares_.asked(line.organisation)),
+             field("fleet_granted", fleet_shares_.granted(line.organisation)),
+             field("fleet_level", fleet_shares_.level()),
+             field("fleet_age_ms", fleet_shares_.age())});
     }
 }
 
@@ -586,6 +595,7 @@
     pool_.reap();
     heat_.prune();
     shares_.prune();
+    admission_.prune();
     retries_.set_hosts(hosts_.announced());
     if (is_ready() != was_ready_) {
         was_ready_ = is_ready();
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -13,9 +13,9 @@
 #include "entry/call.hpp"
 #include "entry/entry_settings.hpp"
 #include "entry/fleet_watch.hpp"
-#include "entry/share_exchange.hpp"
 #include "entry/http_listener.hpp"
 #include "entry/line_writer.hpp"
+#include "entry/share_exchange.hpp"
 #include "logging/logging.hpp"
 #include "metrics/metrics.hpp"
 
@@ -54,8 +54,9 @@
     void send_datagram(const std::string& address, std::string_view bytes);
     void on_request(const std::shared_ptr<caller_connection>& caller,
                     caller_request request);
-    // The response to a request that is refused before a call begins.
-    std::string refuse_early(const message_head& head);
+    // The response to a request that is refused before a call begins; nothing
+    // for one that is let in out of turn.
+    std::optional<std::string> refuse_early(const message_head& head);
     void on_gone(caller_connection& caller);
     void on_operator_request(const std::shared_ptr<caller_connection>& caller,
                              const caller_request& request);
@@ -89,6 +90,7 @@
     overload::fleet_shares fleet_shares_;
     call_reporter reporter_;
     overload::host_load load_;
+    overload::host_admission admission_;
     read_pacer pacer_;
     base::time_point last_tick_{};
     asio::ip::udp::socket datagrams_;
--- a/src/entry/http_listener.cpp
+++ b/src/entry/http_listener.cpp
@@ -159,9 +159,14 @@
         open(handle, received, false);
         return true;
     }
-    const std::string response = hooks_->refusal(refused_parser_.head());
+    const auto response = hooks_->refusal(refused_parser_.head());
+    if (!response) {
+        open(handle, received, true);
+        return true;
+    }
     // The caller that has left meanwhile needs none.
-    std::ignore = send(handle, response.data(), response.size(), MSG_NOSIGNAL);
+    std::ignore =
+        send(handle, response->data(), response->size(), MSG_NOSIGNAL);
     return false;
 }
 
--- a/src/overload/host_load.hpp
+++ b/src/overload/host_load.hpp
@@ -44,6 +44,10 @@
     static constexpr std::chrono::milliseconds unready_after{500};
     static constexpr std::chrono::milliseconds ready_after{1000};
 
+    // Refusals that may be put off, about those of a tenth of a second on a
+    // flooded host; more would only delay the control.
+    static constexpr double most_refusals_due = 64;
+
     // Part of the time for passing events on in which a late host may hold them
     // back; the rest is for the way and for its lateness.
     static constexpr int event_hold_divisor = 2;
@@ -57,6 +61,9 @@
     double refused_share() const { return share_; }
     // Whether to accept the next request. Refusals are spread evenly.
     bool accept();
+    // A request that had to be refused was let in: the next one is refused for
+    // it.
+    void defer_refusal();
     bool is_ready() const { return ready_; }
     // Whether events wait noticeably before they are handled.
     bool is_late() const { return lateness_ > target_lateness / 4; }
