Let a short organisation wait for a slot that may come early

Cause: work was refused when its average wait was longer than its patience. An engine that frees a slot every 160 ms refused work that could wait for 125 ms at once, though every second such request would have got its slot.

An organisation that is short of its share now waits unless others before it make the wait too long. The new test fails without the change.

--- a/src/overload/engine_scheduler.cpp
+++ b/src/overload/engine_scheduler.cpp
@@ -294,7 +294,11 @@
 
 bool engine_scheduler::is_hopeless(const engine_work& work,
                                    std::size_t ahead) const {
-    const seconds wait(release_interval_s_ * static_cast<double>(ahead + 1));
+    // On average the next slot is free after one interval, but it may be at any
+    // moment, which is worth waiting for where little else is granted.
+    const std::size_t intervals =
+        is_short_of_share(work.organisation) ? ahead : ahead + 1;
+    const seconds wait(release_interval_s_ * static_cast<double>(intervals));
     return clock_.now() + to_duration(wait) > latest_start(work);
 }
 
--- a/src/overload/engine_scheduler_test.cpp
+++ b/src/overload/engine_scheduler_test.cpp
@@ -254,3 +254,23 @@
     engine.tested.release({"host/1", 3});
     CHECK(engine.granted == std::vector<std::uint64_t>{3, 2});
 }
+
+// Load pattern: an engine frees a slot less often than a target allows to wait,
+// and the requests of an organisation short of its share meet it one by one.
+// Guards against refusing each of them on the average wait.
+TEST_CASE("work of a short organisation waits for a slot that may come early") {
+    const auto [granted_of_a, decision] = GENERATE(
+        table<double, engine_decision>({{50000, engine_decision::waiting},
+                                        {300000, engine_decision::refused}}));
+    bench engine({.slots = 1});
+    // A slot is free every 200 ms.
+    for (std::uint64_t number = 1; number < 30; ++number) {
+        engine.tested.submit(engine.work(number, "b"));
+        engine.time.advance(200ms);
+        engine.tested.release({"host/1", number});
+    }
+    engine.tested.submit(engine.work(30, "b"));
+    engine.fleet.on_sums(std::vector<bronzehub::overload::organisation_share>{
+        {"a", 300000, granted_of_a}, {"b", 900000, 300000}});
+    CHECK(engine.tested.submit(engine.work(31, "a", 100ms)) == decision);
+}
