--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -498,6 +498,9 @@
     set("bronzehub_entry_owners_passed_over",
         "Owners that left an ask unanswered.",
         static_cast<double>(schedule.owners_passed_over));
+    set("bronzehub_entry_collectors_passed_over",
+        "Collectors of shares that were silent and are reported to no more.",
+        static_cast<double>(share_exchange_.read().collectors_passed_over));
     set("bronzehub_entry_engine_running",
         "Requests on the engines that this host schedules for.",
         static_cast<double>(schedule.running));
--- a/src/entry/share_exchange.cpp
+++ b/src/entry/share_exchange.cpp
@@ -38,7 +38,7 @@
 }
 
 void share_exchange::collect() {
-    host_reports_[hosts_.self().name] = {own_shares(), clock_.now(), ""};
+    host_reports_[hosts_.self().name] = {own_.recent(), clock_.now(), ""};
     const shares domain = sum_of(host_reports_);
     tell_other_domains(domain);
     const std::vector<shares> parts{domain, sum_of(domain_reports_)};
@@ -73,11 +73,14 @@
         silent_.insert(collector.name);
         return;  // The next one is chosen at the next tick.
     }
-    send(collector.address, message_type::host_shares, own_shares());
+    send(collector.address, message_type::host_shares, own_.recent());
 }
 
 void share_exchange::send(const std::string& address, message_type type,
-                          const shares& content) {
+                          shares content) {
+    std::ranges::sort(content, std::greater<>(),
+                      &overload::organisation_share::asked);
+    content.resize(std::min(content.size(), most_organisations));
     schedule_message message;
     message.type = static_cast<std::uint8_t>(type);
     message.host = hosts_.self().name;
@@ -88,18 +91,9 @@
                                return share_message{each.organisation,
                                                     each.asked, each.granted};
                            });
-    ++figures_.reports;
     send_(address, encode_message(message));
 }
 
-share_exchange::shares share_exchange::own_shares() const {
-    shares result = own_.recent();
-    std::ranges::sort(result, std::greater<>(),
-                      &overload::organisation_share::asked);
-    result.resize(std::min(result.size(), most_organisations));
-    return result;
-}
-
 share_exchange::shares share_exchange::sum_of(
     std::map<std::string, report>& reports) {
     std::erase_if(reports, [this](const auto& entry) {
--- a/src/entry/share_exchange.hpp
+++ b/src/entry/share_exchange.hpp
@@ -32,9 +32,10 @@
     // A collector that told nothing for this long, six intervals, is passed
     // over.
     static constexpr std::chrono::milliseconds collector_silent_after{1500};
-    // A report holds the organisations that asked most; with their names it
-    // fits in a datagram.
-    static constexpr std::size_t most_organisations = 512;
+    // A message holds the organisations that asked most: 2 KB, or 8 KB a second
+    // and direction. One that is left out asks little and counts as served
+    // least.
+    static constexpr std::size_t most_organisations = 64;
 
     share_exchange(host_directory& hosts, const overload::share_meter& own,
                    overload::fleet_shares& fleet, base::clock clock,
@@ -47,7 +48,6 @@
     void on_message(const std::string& from, const schedule_message& message);
 
     struct figures {
-        std::uint64_t reports = 0;
         std::uint64_t collectors_passed_over = 0;
     };
     const figures& read() const { return figures_; }
@@ -65,9 +65,7 @@
     void collect();
     void report_to(const entry_host& collector);
     void tell_other_domains(const shares& domain);
-    void send(const std::string& address, message_type type,
-              const shares& content);
-    shares own_shares() const;
+    void send(const std::string& address, message_type type, shares content);
     // The sum of the reports that are not too old; forgets the others.
     shares sum_of(std::map<std::string, report>& reports);
 
--- a/src/entry/share_exchange_test.cpp
+++ b/src/entry/share_exchange_test.cpp
@@ -139,3 +139,24 @@
     CHECK(fleet.hosts.at("a1")->shares.granted("o") > 200);
     CHECK(fleet.hosts.at("a1")->shares.granted("o") < 300);
 }
+
+// Guards against control traffic that grows with the number of organisations.
+TEST_CASE("only the organisations that ask most are told") {
+    exchanging_hosts fleet;
+    for (int i = 0; i < 1000; ++i) {
+        fleet.hosts.at("a1")->meter.on_granted(
+            "organisation-" + std::to_string(i), i < 10 ? 1 : 1000 + i);
+    }
+    fleet.exchange(1);
+    const auto& shares = fleet.hosts.at("a2")->shares;
+    fleet.exchange(2);
+    CHECK(shares.granted("organisation-999") > 0);
+    CHECK(shares.granted("organisation-5") == 0);
+    for (const auto& [name, each] : fleet.hosts) {
+        each->exchange.tick();
+    }
+    REQUIRE_FALSE(fleet.sent.empty());
+    for (const auto& datagram : fleet.sent) {
+        CHECK(datagram.bytes.size() < 3000);
+    }
+}
