Hand on the sums of shares to a host that misses its collector

A host that does not reach the collector which all others report to went on to the next, and in the end took only its own callers' work for the fleet's. The next one now hands on what it hears, and a host asks a neighbour before it collects for itself alone.

--- a/src/entry/share_exchange.cpp
+++ b/src/entry/share_exchange.cpp
@@ -24,8 +24,7 @@
       incarnation_(incarnation) {}
 
 void share_exchange::tick() {
-    const entry_host collector =
-        hosts_.owner(collector_key, hosts_.self().failure_domain, silent_);
+    const entry_host collector = choose_collector();
     if (collector.name != collector_) {
         collector_ = collector.name;
         heard_at_ = clock_.now();
@@ -37,6 +36,30 @@
     }
 }
 
+entry_host share_exchange::choose_collector() const {
+    const entry_host& due =
+        hosts_.owner(collector_key, hosts_.self().failure_domain, silent_);
+    if (due.name != hosts_.self().name || silent_.empty() || is_reported_to()) {
+        return due;
+    }
+    // This host would come next, but nobody else passed over the same
+    // collectors: a neighbour hears the sums that it misses.
+    const auto neighbours = hosts_.neighbours();
+    const auto other =
+        std::ranges::find_if(neighbours, [this](const entry_host& host) {
+            return !silent_.contains(host.name);
+        });
+    return other == neighbours.end() ? due : *other;
+}
+
+bool share_exchange::is_reported_to() const {
+    return std::ranges::any_of(host_reports_, [this](const auto& entry) {
+        return entry.first != hosts_.self().name &&
+               clock_.now() - entry.second.at <
+                   overload::fleet_shares::lifetime;
+    });
+}
+
 void share_exchange::collect() {
     host_reports_[hosts_.self().name] = {own_.recent(), clock_.now(), ""};
     const shares domain = sum_of(host_reports_);
@@ -108,6 +131,17 @@
     return overload::add_shares(contents);
 }
 
+void share_exchange::on_fleet_shares(const shares& sums) {
+    heard_at_ = clock_.now();
+    fleet_.on_sums(sums);
+    // Hosts that report here passed over the collector that this host hears.
+    for (const auto& [name, each] : host_reports_) {
+        if (clock_.now() - each.at < overload::fleet_shares::lifetime) {
+            send(each.address, message_type::fleet_shares, sums);
+        }
+    }
+}
+
 void share_exchange::on_message(const std::string& from,
                                 const schedule_message& message) {
     const auto decode = [&] {
@@ -131,8 +165,7 @@
         case message_type::fleet_shares:
             silent_.erase(message.host);
             if (message.host == collector_) {
-                heard_at_ = clock_.now();
-                fleet_.on_sums(decode());
+                on_fleet_shares(decode());
             }
             break;
         default:
--- a/src/entry/share_exchange.hpp
+++ b/src/entry/share_exchange.hpp
@@ -6,7 +6,8 @@
 // datagram each interval, and knows what every other granted about two
 // intervals ago. A collector is chosen like the owner of an engine. One that
 // stays silent is passed over until it tells sums again. Two at once are
-// harmless, as a host listens to the one that it reports to.
+// harmless, as a host listens to the one that it reports to; one that is no
+// collector in its own view hands on the sums that it hears.
 #ifndef BRONZEHUB_ENTRY_SHARE_EXCHANGE_HPP
 #define BRONZEHUB_ENTRY_SHARE_EXCHANGE_HPP
 
@@ -62,8 +63,12 @@
         std::string address;
     };
 
+    entry_host choose_collector() const;
+    // Whether other hosts take this one for the collector.
+    bool is_reported_to() const;
     void collect();
     void report_to(const entry_host& collector);
+    void on_fleet_shares(const shares& sums);
     void tell_other_domains(const shares& domain);
     void send(const std::string& address, message_type type, shares content);
     // The sum of the reports that are not too old; forgets the others.
--- a/src/entry/share_exchange_test.cpp
+++ b/src/entry/share_exchange_test.cpp
@@ -4,7 +4,11 @@
 #include <catch2/catch.hpp>
 #include <cmath>
 #include <deque>
+#include <map>
 #include <memory>
+#include <set>
+#include <string>
+#include <utility>
 
 namespace {
 
@@ -68,7 +72,9 @@
                 const datagram next = sent.front();
                 sent.pop_front();
                 host& to = *hosts.at(next.to);
-                if (!to.silent && !hosts.at(next.from)->silent) {
+                if (!to.silent && !hosts.at(next.from)->silent &&
+                    !cut.contains({next.from, next.to}) &&
+                    !cut.contains({next.to, next.from})) {
                     to.exchange.on_message(
                         next.from,
                         *bronzehub::entry::decode_message(next.bytes));
@@ -88,6 +94,8 @@
     paused_clock time;
     std::deque<datagram> sent;
     std::map<std::string, std::unique_ptr<host>> hosts;
+    // Pairs that do not reach each other.
+    std::set<std::pair<std::string, std::string>> cut;
 };
 
 }  // namespace
@@ -125,6 +133,21 @@
     }
 }
 
+// Guards against a host that decides by its own callers alone, as it does not
+// reach the collector that the others report to.
+TEST_CASE("a host that is cut off from the collector hears it from another") {
+    exchanging_hosts fleet;
+    fleet.exchange(3);
+    const auto collector = fleet.hosts.at("a1")->directory.owner("shares", "a");
+    const std::string other = collector.name == "a1" ? "a2" : "a1";
+    fleet.cut.insert({collector.name, other});
+    fleet.exchange(10);
+    fleet.count(100, 0);
+    fleet.exchange(4);
+    CHECK(fleet.hosts.at(other)->shares.known());
+    CHECK(fleet.hosts.at(other)->shares.granted("o") > 200);
+}
+
 // Guards against hosts that stop deciding by shares while they are cut off
 // from another failure domain.
 TEST_CASE("a domain that is cut off goes on with its own sums") {
