Count work that was granted once, and log shares as valid JSON

A place on a server that can't be reached was counted again with the next one, so an organisation whose engines were lost seemed to be served more than it was. Infinite levels are logged as -1, as JSON has no infinity.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -519,7 +519,7 @@
         respond_error(bad_gateway, why);
         return;
     }
-    if (engine_work() && attempts_sent_ == 0) {
+    if (engine_work() && !std::exchange(share_counted_, true)) {
         environment_.shares.on_refused(
             organisation_, fleet_state::cost_in_shares(description_),
             overload::refusal_point::engines);
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -147,6 +147,8 @@
     base::time_point deadline_{};
     std::optional<base::timer_id> deadline_timer_;
     std::shared_ptr<place_search> search_;
+    // The work was counted as granted or refused.
+    bool share_counted_ = false;
     base::time_point placed_at_{};
     std::set<std::string> avoided_;
     std::optional<attempt> attempt_;
--- a/src/entry/call_placement.cpp
+++ b/src/entry/call_placement.cpp
@@ -137,7 +137,8 @@
 
 void call::on_place(const place_answer& answer, const std::string& server_id) {
     report_.owner = answer.owner;
-    if (attempts_sent_ == 0) {
+    // A place whose server then can't be reached is no second grant.
+    if (!std::exchange(share_counted_, true)) {
         environment_.shares.on_granted(
             organisation_, fleet_state::cost_in_shares(description_));
     }
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -6,6 +6,7 @@
 #include <asio/buffer.hpp>
 #include <asio/ip/address.hpp>
 #include <charconv>
+#include <cmath>
 #include <csignal>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -36,6 +37,8 @@
 constexpr milliseconds share_lines_interval{1000};
 // Organisations whose refusals are logged in each interval.
 constexpr std::size_t share_lines = 4;
+// Of a figure in a log line that is not known or has no bound.
+constexpr double unknown_figure = -1;
 // Taken off the revocation bound for the time in which the store may hold a
 // change back from its watchers, and for the way of a request.
 constexpr milliseconds key_margin{1500};
@@ -527,6 +530,15 @@
 }
 
 void entry_node::log_shares() {
+    const bool known = fleet_shares_.known();
+    // JSON has no infinity.
+    const double level = known && std::isfinite(fleet_shares_.level())
+                             ? fleet_shares_.level()
+                             : unknown_figure;
+    const double age_ms =
+        known ? std::chrono::duration<double, std::milli>(fleet_shares_.age())
+                    .count()
+              : unknown_figure;
     for (const auto& line : shares_.take_refused(share_lines)) {
         log_.info(
             "organisation refused",
@@ -538,8 +550,7 @@
              field("refused_share", load_.refused_share()),
              field("fleet_asked", fleet_shares_.asked(line.organisation)),
              field("fleet_granted", fleet_shares_.granted(line.organisation)),
-             field("fleet_level", fleet_shares_.level()),
-             field("fleet_age_ms", fleet_shares_.age())});
+             field("fleet_level", level), field("fleet_age_ms", age_ms)});
     }
 }
 
