Leave a part of each engine free for organisations below the level

Cause: an organisation that asks for much more than its share takes each slot as it gets free, so that work of others finds engines full and depends on waiting at the right one. Organisations above the level of the fleet now leave a fifth of the slots and of the prompt window free, and new work that goes before all that waits is granted at once.

Ruled out: a cap on the organisation that is served best. With one other organisation that can't take its share, it would leave engines idle; the reservation leaves a fifth of the places at most.

--- a/src/overload/engine_scheduler.cpp
+++ b/src/overload/engine_scheduler.cpp
@@ -48,7 +48,7 @@
         waiting_.end()) {
         return engine_decision::waiting;
     }
-    if (waiting_.empty() && has_room(work)) {
+    if (has_room(work) && goes_first(work)) {
         grant(std::move(work));
         return engine_decision::granted;
     }
@@ -92,20 +92,28 @@
     return tokens;
 }
 
+// Whether new work is before everything that waits.
+bool engine_scheduler::goes_first(const engine_work& work) {
+    return waiting_.empty() ||
+           served(work.organisation) < served(next_in_order()->organisation);
+}
+
 bool engine_scheduler::has_room(const engine_work& work) const {
-    if (running_.size() >= options_.slots) {
-        return false;
-    }
     if (running_.empty()) {
         return true;
     }
+    const double usable =
+        fleet_.is_above_level(work.organisation) ? 1 - reserved_part : 1;
+    if (static_cast<double>(running_.size()) >= usable * options_.slots) {
+        return false;
+    }
     const auto memory_limit = static_cast<std::uint64_t>(
         memory_share * static_cast<double>(options_.memory_tokens));
     if (memory_limit > 0 && memory_in_use_ + memory_of(work) > memory_limit) {
         return false;
     }
     return unread_in_flight_ == 0 ||
-           unread_in_flight_ + unread_tokens(work) <= prompt_window_;
+           unread_in_flight_ + unread_tokens(work) <= usable * prompt_window_;
 }
 
 void engine_scheduler::use_parts(const engine_work& work) {
--- a/src/overload/engine_scheduler.hpp
+++ b/src/overload/engine_scheduler.hpp
@@ -115,6 +115,12 @@
     // are not known.
     static constexpr double short_share = 0.5;
 
+    // Part of the slots and of the prompt window that an organisation above the
+    // level of the fleet leaves free, so that work of the others starts when it
+    // comes: an engine is otherwise always full of the work of the organisation
+    // that asks most. Trunk reservation, as in telephony.
+    static constexpr double reserved_part = 0.2;
+
     // Refuses work whose start is no longer in time. Call every few ms while
     // work waits.
     void tick();
@@ -148,6 +154,7 @@
     std::uint32_t unread_tokens(const engine_work& work) const;
     std::uint64_t memory_of(const engine_work& work) const;
     bool has_room(const engine_work& work) const;
+    bool goes_first(const engine_work& work);
     base::duration expected_start(const engine_work& work) const;
     void grant(engine_work work);
     void finish(std::map<work_id, granted_work>::iterator entry);
--- a/src/overload/engine_scheduler_test.cpp
+++ b/src/overload/engine_scheduler_test.cpp
@@ -274,3 +274,26 @@
         {"a", 300000, granted_of_a}, {"b", 900000, 300000}});
     CHECK(engine.tested.submit(engine.work(31, "a", 100ms)) == decision);
 }
+
+// Load pattern: the organisation that asks most finds every slot as it gets
+// free. Guards against work of others that is refused at a full engine.
+TEST_CASE("an organisation above its share leaves room for others") {
+    bench engine({.slots = 10});
+    engine.fleet.on_sums(std::vector<bronzehub::overload::organisation_share>{
+        {"much", 900000, 300000},
+        {"little", 90000, 50000},
+        {"b", 900000, 200000}});
+    std::uint64_t number = 0;
+    while (engine.tested.running() < 8) {
+        engine.tested.submit(engine.work(++number, "much"));
+    }
+    CHECK(engine.tested.submit(engine.work(++number, "much")) ==
+          engine_decision::waiting);
+    CHECK(engine.tested.submit(engine.work(++number, "little")) ==
+          engine_decision::granted);
+    CHECK(engine.tested.submit(engine.work(++number, "b")) ==
+          engine_decision::granted);
+    CHECK(engine.tested.running() == 10);
+    engine.tested.release({"host/1", 1});
+    CHECK(engine.granted.empty());
+}
--- a/src/overload/fleet_shares.cpp
+++ b/src/overload/fleet_shares.cpp
@@ -102,6 +102,10 @@
     return !known() || granted(organisation) < level_;
 }
 
+bool fleet_shares::is_above_level(std::string_view organisation) const {
+    return known() && granted(organisation) > level_;
+}
+
 base::duration fleet_shares::backlog_time(std::string_view organisation) const {
     const auto* found = find(organisation);
     if (found == nullptr || found->granted <= 0) {
--- a/src/overload/fleet_shares.hpp
+++ b/src/overload/fleet_shares.hpp
@@ -63,6 +63,9 @@
     // known.
     bool is_below_level(std::string_view organisation) const;
 
+    // Whether the organisation got more than `level`.
+    bool is_above_level(std::string_view organisation) const;
+
     // Time in which what the organisation was refused of late would be granted
     // at its present rate; zero when nothing was refused.
     base::duration backlog_time(std::string_view organisation) const;
