--- a/src/entry/place_search.cpp
+++ b/src/entry/place_search.cpp
@@ -139,9 +139,10 @@
     }
 }
 
-void place_search::on_answer(std::uint64_t search, const place_answer& answer,
+void place_search::on_answer(std::uint64_t ask_number,
+                             const place_answer& answer,
                              const std::string& server) {
-    if (search != asks_) {
+    if (ask_number != asks_) {
         return;
     }
     ++asks_;
--- a/src/entry/place_search.hpp
+++ b/src/entry/place_search.hpp
@@ -95,7 +95,7 @@
     bool may_spread() const;
     void ask_next();
     void ask(const fleet_state::backend_server& server);
-    void on_answer(std::uint64_t search, const place_answer& answer,
+    void on_answer(std::uint64_t ask_number, const place_answer& answer,
                    const std::string& server);
     void refuse_full();
 
