Log which segments a broken attempt had and whether its server ended

The log could not tell a connection that broke from an engine that ended, nor which prompt segments the requests without an event shared. A broken attempt at an engine now has the shared segments and its own number of events in its line, and one connection to the engine tells whether the process has ended.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -5,8 +5,10 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "entry/refusal.hpp"
 #include "entry/response_limits.hpp"
+#include "overload/placement.hpp"
 #include "platform/message_codec.hpp"
 
 namespace bronzehub::entry {
@@ -43,6 +45,18 @@
     return std::string(bare.substr(0, bare.find_last_not_of(' ') + 1));
 }
 
+// Segments beyond this number are left out of the log.
+constexpr std::size_t max_logged_segments = 8;
+
+std::string format_segments(
+    std::span<const fleet_state::prompt_segment> segments) {
+    return absl::StrJoin(
+        segments.first(std::min(segments.size(), max_logged_segments)), ",",
+        [](std::string* text, const fleet_state::prompt_segment& segment) {
+            absl::StrAppend(text, absl::Hex(segment.id));
+        });
+}
+
 }  // namespace
 
 call::call(call_environment& environment,
@@ -241,6 +255,7 @@
     next.health_epoch = status.health.epoch();
     next.sent_at = environment_.loop.now();
     next.is_resumption = response_started_;
+    next.earlier_events = relay_.event_count();
     next.connection = environment_.pool.acquire(
         instance_name(server), server.address, route_->is_idempotent());
     const auto connection = next.connection;
@@ -444,6 +459,12 @@
                          (outcome == overload::attempt_outcome::answered &&
                           attempt_->status < first_server_error);
     update_reachability(result);
+    report_.attempt_events = relay_.event_count() - attempt_->earlier_events;
+    if (outcome == overload::attempt_outcome::broken) {
+        report_.segments =
+            format_segments(overload::shared_segments(description_.prompt));
+        check_liveness();
+    }
     if (result == exchange_result::not_sent && search_) {
         search_->release_unreached();
     }
@@ -451,6 +472,19 @@
     handle_outcome(outcome, reason);
 }
 
+void call::check_liveness() {
+    if (!is_engine_request()) {
+        return;
+    }
+    environment_.liveness.check(
+        attempt_->server,
+        [&reporter = environment_.reporter, report = report_](bool has_ended) {
+            if (has_ended) {
+                reporter.on_server_ended(report);
+            }
+        });
+}
+
 void call::update_reachability(exchange_result result) {
     auto& reachability = environment_.reachability;
     const std::string& domain = attempt_->server.failure_domain;
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -18,6 +18,7 @@
 #include "entry/caller_connection.hpp"
 #include "entry/event_relay.hpp"
 #include "entry/fleet_watch.hpp"
+#include "entry/liveness_probe.hpp"
 #include "entry/place_search.hpp"
 #include "entry/read_pacer.hpp"
 #include "overload/attempt_policy.hpp"
@@ -39,6 +40,7 @@
     schedule_link& schedule;
     overload::retry_window& retries;
     overload::domain_reachability& reachability;
+    liveness_probe& liveness;
     overload::share_meter& shares;
     call_reporter& reporter;
     std::string failure_domain;
@@ -108,6 +110,8 @@
         bool is_stream = false;
         // Resumes a stream that another server began.
         bool is_resumption = false;
+        // Events that earlier attempts relayed.
+        std::uint64_t earlier_events = 0;
         std::size_t max_body_bytes = 0;
     };
 
@@ -148,6 +152,8 @@
     // that several events are relayed at once.
     void pace_reading();
     void on_exchange_end(exchange_result result, std::string_view reason);
+    // Finds out whether the server of a broken attempt has ended.
+    void check_liveness();
     // Records whether the failure domain of the server can be reached.
     void update_reachability(exchange_result result);
     overload::attempt_outcome classify_attempt(exchange_result result) const;
--- a/src/entry/call_report.cpp
+++ b/src/entry/call_report.cpp
@@ -99,7 +99,26 @@
         event,
         {field("request_id", report.request_id), field("cause", cause),
          field("status", status), field("server", report.server),
-         field("attempts", report.attempts), field("events", report.events)});
+         field("attempts", report.attempts), field("events", report.events),
+         field("attempt_events", report.attempt_events),
+         field("segments", report.segments)});
+}
+
+void call_reporter::on_server_ended(const call_report& report) {
+    registry_
+        .add_counter("bronzehub_entry_attempts_server_ended_total",
+                     "Attempts that broke off because their backend server "
+                     "ended, by service and whether an event had arrived.",
+                     {{"service", report.service},
+                      {"event", report.attempt_events > 0 ? "yes" : "no"}})
+        .increment();
+    if (try_take(attempts_)) {
+        log_.info("backend server ended",
+                  {field("request_id", report.request_id),
+                   field("server", report.server),
+                   field("attempt_events", report.attempt_events),
+                   field("segments", report.segments)});
+    }
 }
 
 void call_reporter::on_resumption(const call_report& report,
--- a/src/entry/call_report.hpp
+++ b/src/entry/call_report.hpp
@@ -51,6 +51,11 @@
     std::uint32_t resumptions = 0;
     // Stream events that were relayed to the caller.
     std::uint64_t events = 0;
+    // Of those, the events of the current attempt.
+    std::uint64_t attempt_events = 0;
+    // Ids of the shared prompt segments of a broken attempt, in hexadecimal,
+    // separated by commas.
+    std::string segments;
     std::uint64_t configuration_version = 0;
     // The values below are negative if the call ended before they were known.
     std::int64_t configuration_age_ms = -1;
@@ -88,6 +93,9 @@
     // none.
     void on_unusable_attempt(const call_report& report, std::string_view event,
                              std::string_view cause, int status);
+    // Logs that the backend server of a broken attempt has ended, and counts
+    // it.
+    void on_server_ended(const call_report& report);
     // Counts an attempt to resume a stream by its outcome.
     void on_resumption(const call_report& report, std::string_view outcome);
     // Logs that a failure domain became unreachable or reachable for this host.
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -127,6 +127,7 @@
                     loop_.clock()),
       segment_demand_(loop_.clock()),
       reachability_(settings_.host.failure_domain, loop_.clock()),
+      liveness_probe_(loop_),
       share_meter_(loop_.clock()),
       fleet_shares_(loop_.clock()),
       call_reporter_(log_, metrics_, loop_.clock()),
@@ -167,6 +168,7 @@
           schedule_,
           retry_window_,
           reachability_,
+          liveness_probe_,
           share_meter_,
           call_reporter_,
           settings_.host.failure_domain,
@@ -553,6 +555,9 @@
     set("bronzehub_entry_connections_reused",
         "Requests to backend servers on a reused connection.",
         static_cast<double>(connection_pool_.reused_count()));
+    set("bronzehub_entry_liveness_probes",
+        "Connections opened to find out whether a backend server has ended.",
+        static_cast<double>(liveness_probe_.probe_count()));
     set("bronzehub_entry_malformed_datagrams",
         "Datagrams that could not be decoded as a message of this version.",
         static_cast<double>(malformed_datagrams_));
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -103,6 +103,7 @@
     overload::retry_window retry_window_;
     overload::segment_demand segment_demand_;
     overload::domain_reachability reachability_;
+    liveness_probe liveness_probe_;
     overload::share_meter share_meter_;
     overload::fleet_shares fleet_shares_;
     call_reporter call_reporter_;
