--- a/tests/entry_path/entry_path_fixture.py
+++ b/tests/entry_path/entry_path_fixture.py
@@ -66,7 +66,7 @@
 class Daemon:
     """One process of the program under test."""
 
-    def __init__(self, store, name="host-1", **bounds):
+    def __init__(self, store, name="host-1", domain="a", **bounds):
         self.reserved_sockets = reserve_ports(4)
         self.caller_port, self.readiness_port, self.operator_port, self.peer_port = (
             sock.getsockname()[1] for sock in self.reserved_sockets
@@ -74,7 +74,7 @@
         self.settings_file = tempfile.NamedTemporaryFile("w", suffix=".json")
         json.dump(
             {
-                "host": {"name": name, "failure_domain": "a"},
+                "host": {"name": name, "failure_domain": domain},
                 "listeners": {
                     "callers": f"127.0.0.1:{self.caller_port}",
                     "readiness": f"127.0.0.1:{self.readiness_port}",
--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -104,7 +104,7 @@
         self.tasks = set()
 
     async def start(self):
-        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", self.port)
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def accept(self, reader, writer):
@@ -278,6 +278,16 @@
         self.cut_allowed.set()
         # Servers whose executions "drop_first_execution" counts together.
         self.counted_servers = [self]
+        # Prompt segment, in hexadecimal, on which the server ends when it is to
+        # send the first event. Never the last segment of a prompt.
+        self.crashing_segment = ""
+        # Seconds from the head of a stream to its first event.
+        self.first_event_delay_s = 0
+        # Seconds from the end of the server to its next start.
+        self.restart_delay_s = 1.5
+        # Time of each end of the server.
+        self.crashes = []
+        self.restart = None
         # Events that "stream_restart" sends by default.
         self.restarted_event_count = 1
 
@@ -324,6 +334,30 @@
                     return
             await writer.drain()
 
+    async def stop(self):
+        if self.restart:
+            self.restart.cancel()
+        await super().stop()
+
+    def crash(self):
+        """Closes the port and all connections; starts again after a delay."""
+        self.crashes.append(time.monotonic())
+        self.server.close()
+        for task in self.tasks:
+            if task is not asyncio.current_task():
+                task.cancel()
+        self.restart = asyncio.ensure_future(self.start_again())
+
+    async def start_again(self):
+        await asyncio.sleep(self.restart_delay_s)
+        self.born += 1
+        await self.start()
+
+    def crashes_on(self, headers):
+        prompt = headers.get("bronzehub-prompt-prefix", "").split(",")
+        segments = [segment.partition(":")[0] for segment in prompt[:-1]]
+        return bool(self.crashing_segment) and self.crashing_segment in segments
+
     def state_headers(self):
         return {"Server-Leaving": 1} if self.leaving else {}
 
@@ -552,6 +586,11 @@
         """
         more_headers = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         writer.write(self.signed_head(request_id, more_headers).encode())
+        if self.first_event_delay_s:
+            await asyncio.sleep(self.first_event_delay_s)
+        if self.crashes_on(headers):
+            self.crash()
+            return False
         for number in range(first, last + 1):
             event = self.encode_event(number, headers)
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
