Quarantine prompt segments that end the engines which run them

Cause: each host judged a broken attempt by itself and held it against the engine. The request went to the next engine, and the next caller's to another, so the fleet carried the segment to every engine, also to those that had just started. Class: work that ends its server, retried and admitted by processes that each see too little of it to blame the work.

Change: an attempt without an event whose engine then refuses connections is reported to one arbiter of the fleet. It counts ends that follow one another, lets suspect segments through one request at a time, and quarantines one after the fourth end. Events clear segments, and ends that a quarantined segment explains no longer count. Hosts hear of it by datagram; the store keeps it for those that start alone.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -217,6 +217,9 @@
     if (!revalidate_route()) {
         return;
     }
+    if (!check_segments()) {
+        return;
+    }
     // On an overloaded host, the event that closes the caller's connection may
     // still be queued behind the event that is handled now.
     if (environment_.load.is_late() && caller_->is_closed_by_peer()) {
@@ -383,6 +386,9 @@
     if (events.empty()) {
         return;
     }
+    if (!std::exchange(attempt_->has_event, true)) {
+        clear_segments();
+    }
     const bool is_first = !std::exchange(response_started_, true);
     if (is_first) {
         report_.status = attempt_->status;
@@ -460,11 +466,15 @@
                           attempt_->status < first_server_error);
     update_reachability(result);
     report_.attempt_events = relay_.event_count() - attempt_->earlier_events;
+    if (success && !attempt_->is_stream) {
+        clear_segments();
+    }
     if (outcome == overload::attempt_outcome::broken) {
         report_.segments =
             format_segments(overload::shared_segments(description_.prompt));
         check_liveness();
     }
+    end_trial();
     if (result == exchange_result::not_sent && search_) {
         search_->release_unreached();
     }
@@ -476,11 +486,24 @@
     if (!is_engine_request()) {
         return;
     }
+    overload::engine_crash crash{
+        instance_name(attempt_->server), {}, attempt_->sent_at};
+    if (!attempt_->has_event) {
+        crash.segments = shared_segments_;
+    }
+    // A trial ends when the crash has been reported, so that the next one does
+    // not begin before.
+    const auto trial = std::exchange(trial_, std::nullopt);
     environment_.liveness.check(
-        attempt_->server,
-        [&reporter = environment_.reporter, report = report_](bool has_ended) {
+        attempt_->server, [&quarantine = environment_.quarantine,
+                           &reporter = environment_.reporter, report = report_,
+                           trial, crash = std::move(crash)](bool has_ended) {
             if (has_ended) {
                 reporter.on_server_ended(report);
+                quarantine.on_crash(crash);
+            }
+            if (trial) {
+                quarantine.end_trial(*trial);
             }
         });
 }
@@ -680,6 +703,7 @@
     }
     const auto self = shared_from_this();
     release_slot();
+    end_trial();
     if (deadline_timer_) {
         environment_.loop.cancel(*std::exchange(deadline_timer_, std::nullopt));
     }
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -20,6 +20,7 @@
 #include "entry/fleet_watch.hpp"
 #include "entry/liveness_probe.hpp"
 #include "entry/place_search.hpp"
+#include "entry/quarantine_link.hpp"
 #include "entry/read_pacer.hpp"
 #include "overload/attempt_policy.hpp"
 #include "overload/domain_reachability.hpp"
@@ -41,6 +42,7 @@
     overload::retry_window& retries;
     overload::domain_reachability& reachability;
     liveness_probe& liveness;
+    quarantine_link& quarantine;
     overload::share_meter& shares;
     call_reporter& reporter;
     std::string failure_domain;
@@ -110,6 +112,8 @@
         bool is_stream = false;
         // Resumes a stream that another server began.
         bool is_resumption = false;
+        // An event arrived from the server.
+        bool has_event = false;
         // Events that earlier attempts relayed.
         std::uint64_t earlier_events = 0;
         std::size_t max_body_bytes = 0;
@@ -129,7 +133,17 @@
     void refuse_without_server();
     // Time until one of the servers to try may get requests again.
     base::duration time_to_next_server() const;
+    // Whether the prompt segments of the request allow to send it now. If not,
+    // ends the call or selects the server again later.
+    bool check_segments();
+    void on_segment_clearance(segment_clearance clearance);
+    void refuse_quarantined();
+    // Records that an engine sent an event of the request.
+    void clear_segments();
+    void end_trial();
     void search_engine();
+    // Latest time to be granted a slot so that the first event is in time.
+    base::time_point start_deadline() const;
     search_criteria make_search_criteria() const;
     void on_slot_granted(const slot_response& response,
                          const std::string& server);
@@ -152,7 +166,8 @@
     // that several events are relayed at once.
     void pace_reading();
     void on_exchange_end(exchange_result result, std::string_view reason);
-    // Finds out whether the server of a broken attempt has ended.
+    // Finds out whether the server of a broken attempt has ended, and if so
+    // reports the segments of a request that had no event.
     void check_liveness();
     // Records whether the failure domain of the server can be reached.
     void update_reachability(exchange_result result);
@@ -204,6 +219,12 @@
     bool usage_counted_ = false;
     // When the current server was chosen or its engine granted the slot.
     base::time_point server_selected_at_{};
+    // Ids of the prompt segments that other requests may have, too.
+    std::vector<overload::segment_id> shared_segments_;
+    // Number of the wait for clearance or of the trial, while there is one.
+    std::optional<std::uint64_t> trial_;
+    // The wait for clearance has ended in a trial.
+    bool trial_granted_ = false;
     // Ids of the servers at which an attempt failed.
     std::set<std::string> excluded_servers_;
     std::optional<attempt> attempt_;
--- a/src/entry/call_placement.cpp
+++ b/src/entry/call_placement.cpp
@@ -44,7 +44,9 @@
 void call::select_server() {
     attempt_.reset();
     if (is_engine_request()) {
-        search_engine();
+        if (check_segments()) {
+            search_engine();
+        }
     } else {
         select_plain_server();
     }
@@ -110,15 +112,101 @@
                                     no_server_retry_after);
 }
 
+bool call::check_segments() {
+    if (!is_engine_request()) {
+        return true;
+    }
+    if (shared_segments_.empty()) {
+        std::ranges::transform(overload::shared_segments(description_.prompt),
+                               std::back_inserter(shared_segments_),
+                               [](const fleet_state::prompt_segment& segment) {
+                                   return segment.id;
+                               });
+        if (shared_segments_.empty()) {
+            return true;
+        }
+    }
+    auto& quarantine = environment_.quarantine;
+    if (!quarantine.is_complete()) {
+        refuse("quarantined segments not known", no_server_retry_after);
+        return false;
+    }
+    if (quarantine.quarantined_for(shared_segments_) > base::duration(0)) {
+        refuse_quarantined();
+        return false;
+    }
+    if (trial_granted_ || !quarantine.needs_clearance(shared_segments_)) {
+        return true;
+    }
+    // A slot would be unused while the request waits.
+    release_slot();
+    take_back_grant();
+    trial_ = quarantine.next_trial_number();
+    quarantine.wait_for_clearance(
+        *trial_, shared_segments_, start_deadline(),
+        [weak = weak_from_this()](segment_clearance clearance) {
+            const auto self = weak.lock();
+            if (self && !self->ended_) {
+                self->on_segment_clearance(clearance);
+            }
+        });
+    return false;
+}
+
+void call::on_segment_clearance(segment_clearance clearance) {
+    switch (clearance) {
+        case segment_clearance::unrestricted:
+            trial_.reset();
+            search_engine();
+            return;
+        case segment_clearance::trial:
+            trial_granted_ = true;
+            search_engine();
+            return;
+        case segment_clearance::quarantined:
+            trial_.reset();
+            refuse_quarantined();
+            return;
+        case segment_clearance::timed_out:
+            trial_.reset();
+            refuse("prompt segment under trial", no_server_retry_after);
+            return;
+    }
+}
+
+void call::refuse_quarantined() {
+    const base::duration remaining =
+        environment_.quarantine.quarantined_for(shared_segments_);
+    refuse("prompt segment quarantined", remaining + remaining / 3);
+}
+
+void call::clear_segments() {
+    if (!shared_segments_.empty()) {
+        environment_.quarantine.on_first_event(shared_segments_);
+    }
+    end_trial();
+}
+
+void call::end_trial() {
+    trial_granted_ = false;
+    if (const auto trial = std::exchange(trial_, std::nullopt)) {
+        environment_.quarantine.end_trial(*trial);
+    }
+}
+
+base::time_point call::start_deadline() const {
+    const auto target = route_->target_latency;
+    return response_started_ ? environment_.loop.now() + target
+                             : request_.arrived_at +
+                                   duration_cast<base::duration>(
+                                       max_waiting_fraction * seconds(target));
+}
+
 void call::search_engine() {
     const auto target = route_->target_latency;
-    const auto start_deadline =
-        response_started_
-            ? environment_.loop.now() + target
-            : request_.arrived_at + duration_cast<base::duration>(
-                                        max_waiting_fraction * seconds(target));
-    const auto extended_start_deadline =
-        response_started_ ? start_deadline : request_.arrived_at + target;
+    const auto latest_start = start_deadline();
+    const auto extended_latest_start =
+        response_started_ ? latest_start : request_.arrived_at + target;
     // Ignores callbacks of the search after the call has ended.
     const auto if_active = [weak = weak_from_this()](auto callback) {
         const auto self = weak.lock();
@@ -142,7 +230,7 @@
                 if_active(
                     [&](call& self) { self.on_engines_full(retry_after); });
             }});
-    search_->start(excluded_servers_, start_deadline, extended_start_deadline);
+    search_->start(excluded_servers_, latest_start, extended_latest_start);
 }
 
 search_criteria call::make_search_criteria() const {
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -159,6 +159,9 @@
           },
           incarnation_, log_,
           [this](std::string_view id) { backend_status_.remove(id); }),
+      quarantine_store_(loop_, settings_.store.address, settings_.host.name,
+                        log_),
+      quarantine_(hosts_, loop_.clock(), incarnation_, make_quarantine_hooks()),
       call_environment_{
           loop_,
           fleet_watch_,
@@ -169,6 +172,7 @@
           retry_window_,
           reachability_,
           liveness_probe_,
+          quarantine_,
           share_meter_,
           call_reporter_,
           settings_.host.failure_domain,
@@ -225,6 +229,31 @@
           })),
       signals_(loop_.context(), SIGTERM, SIGINT, SIGHUP) {}
 
+quarantine_hooks entry_node::make_quarantine_hooks() {
+    quarantine_hooks hooks;
+    hooks.send = [this](const std::string& address, std::string_view bytes) {
+        send_datagram(address, bytes);
+    };
+    hooks.read_store = [this] {
+        quarantine_store_.read([this](const auto& remaining) {
+            quarantine_.on_store_read(remaining);
+        });
+    };
+    hooks.store = [this](overload::segment_id segment,
+                         base::duration lifetime) {
+        quarantine_store_.write(segment, lifetime, [this, segment] {
+            quarantine_.on_stored(segment);
+        });
+    };
+    hooks.on_quarantined = [this](overload::segment_id segment,
+                                  std::string_view source) {
+        log_.warning("prompt segment quarantined",
+                     {field("segment", encode_segment_key(segment)),
+                      field("source", source)});
+    };
+    return hooks;
+}
+
 absl::Status entry_node::start() {
     log_.info("starting",
               {field("host", settings_.host.name),
@@ -386,6 +415,7 @@
     schedule_.on_message(sender_address, *message);
     share_exchange_.on_message(sender_address, *message);
     fleet_watch_.on_message(sender_address, *message);
+    quarantine_.on_message(sender_address, *message);
 }
 
 void entry_node::send_datagram(const std::string& address,
@@ -462,6 +492,7 @@
     }
     last_tick_ = now;
     schedule_.tick();
+    quarantine_.tick();
     read_pacer_.tick();
 }
 
@@ -472,7 +503,8 @@
 }
 
 bool entry_node::is_ready() const {
-    return !draining_ && fleet_watch_.is_ready() && host_load_.is_ready();
+    return !draining_ && fleet_watch_.is_ready() && quarantine_.is_complete() &&
+           host_load_.is_ready();
 }
 
 void entry_node::on_readiness_request(
@@ -558,6 +590,25 @@
     set("bronzehub_entry_liveness_probes",
         "Connections opened to find out whether a backend server has ended.",
         static_cast<double>(liveness_probe_.probe_count()));
+    const auto quarantine = quarantine_.read_statistics();
+    set("bronzehub_entry_suspect_segments",
+        "Prompt segments under which an engine ended and no event came since.",
+        static_cast<double>(quarantine.suspects));
+    set("bronzehub_entry_quarantined_segments",
+        "Prompt segments whose requests are refused because they end engines.",
+        static_cast<double>(quarantine.quarantined));
+    set("bronzehub_entry_segment_trials",
+        "Requests that were sent alone because a segment is suspect.",
+        static_cast<double>(quarantine.trials));
+    set("bronzehub_entry_segment_crashes_reported",
+        "Ends of engines that were reported as evidence against segments.",
+        static_cast<double>(quarantine.crashes_reported));
+    set("bronzehub_entry_segment_arbiters_passed_over",
+        "Arbiters of prompt segments that were replaced after a timeout.",
+        static_cast<double>(quarantine.arbiters_passed_over));
+    set("bronzehub_entry_store_segment_calls",
+        "Calls to the store for quarantined prompt segments.",
+        static_cast<double>(quarantine_store_.calls()));
     set("bronzehub_entry_malformed_datagrams",
         "Datagrams that could not be decoded as a message of this version.",
         static_cast<double>(malformed_datagrams_));
@@ -644,6 +695,10 @@
         {"schedules", schedule.schedulers},
         {"engine_running", schedule.running},
         {"engine_waiting", schedule.waiting}};
+    result["quarantined_segments"] = nlohmann::json::array();
+    for (const overload::segment_id id : quarantine_.quarantined_segments()) {
+        result["quarantined_segments"].push_back(encode_segment_key(id));
+    }
     for (const auto& [id, server] : servers_.all()) {
         result["backend_servers"][id] = {
             {"service", server.service},
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -16,6 +16,7 @@
 #include "entry/fleet_watch.hpp"
 #include "entry/http_listener.hpp"
 #include "entry/line_writer.hpp"
+#include "entry/quarantine_store.hpp"
 #include "entry/share_exchange.hpp"
 #include "logging/logging.hpp"
 #include "metrics/metrics.hpp"
@@ -49,6 +50,7 @@
     // are still in progress and for exiting.
     static constexpr std::chrono::milliseconds exit_reserve{400};
 
+    quarantine_hooks make_quarantine_hooks();
     void listen_for_signals();
     // Applies the settings file if its text has changed.
     void reload_settings();
@@ -117,6 +119,8 @@
     schedule_link schedule_;
     share_exchange share_exchange_;
     fleet_watch fleet_watch_;
+    quarantine_store quarantine_store_;
+    quarantine_link quarantine_;
     call_environment call_environment_;
     http_listener caller_listener_;
     http_listener readiness_listener_;
--- a/src/entry/schedule_messages.hpp
+++ b/src/entry/schedule_messages.hpp
@@ -56,6 +56,12 @@
     configuration = 16,
     // Entry hosts that are announced in the store.
     hosts = 17,
+    // Tells the arbiter what the sender saw of suspect prompt segments, and
+    // asks
+    // for trials. The response is a `segment_table`.
+    segment_report = 18,
+    // The segments that are suspect or quarantined, from the arbiter.
+    segment_table = 19,
 };
 
 // The newest versions of the store's contents that a host knows. The `store_ms`
@@ -169,6 +175,61 @@
     MSGPACK_DEFINE_ARRAY(organisation, asked, granted)
 };
 
+// An engine ended before the first event of a request.
+struct segment_crash_message {
+    std::string engine;
+    std::vector<std::uint64_t> segments;
+    // Time from sending the request to the engine until this message was sent.
+    std::int64_t sent_before_us = 0;
+    MSGPACK_DEFINE_ARRAY(engine, segments, sent_before_us)
+};
+
+// Asks to send one request with restricted segments.
+struct segment_trial_message {
+    std::uint64_t number = 0;
+    std::vector<std::uint64_t> segments;
+    MSGPACK_DEFINE_ARRAY(number, segments)
+};
+
+struct segment_report_message {
+    // Increases with each report of the sender; repeated in the response.
+    std::uint64_t number = 0;
+    std::vector<segment_crash_message> crashes;
+    // Suspect segments of a request whose first event arrived.
+    std::vector<std::uint64_t> cleared;
+    std::vector<segment_trial_message> trials;
+    // Numbers of the trials of the sender that ended.
+    std::vector<std::uint64_t> ended_trials;
+    MSGPACK_DEFINE_ARRAY(number, crashes, cleared, trials, ended_trials)
+};
+
+struct suspect_segment_message {
+    std::uint64_t id = 0;
+    std::uint32_t crashes = 0;
+    MSGPACK_DEFINE_ARRAY(id, crashes)
+};
+
+struct quarantined_segment_message {
+    std::uint64_t id = 0;
+    std::int64_t remaining_ms = 0;
+    // Whether the store has the quarantine.
+    bool stored = false;
+    MSGPACK_DEFINE_ARRAY(id, remaining_ms, stored)
+};
+
+struct segment_table_message {
+    // Number of the report that this message responds to; 0 if none.
+    std::uint64_t acknowledged = 0;
+    // Whether the sender knows what the store has.
+    bool complete = false;
+    std::vector<suspect_segment_message> suspects;
+    std::vector<quarantined_segment_message> quarantined;
+    // Trials that the receiver may begin.
+    std::vector<std::uint64_t> granted_trials;
+    MSGPACK_DEFINE_ARRAY(acknowledged, complete, suspects, quarantined,
+                         granted_trials)
+};
+
 // The envelope of every datagram between hosts. `type` determines which of the
 // optional fields are used.
 struct host_message {
@@ -205,9 +266,13 @@
     // At most one entry, in a `configuration` message.
     std::vector<configuration_message> configuration;
     std::vector<announced_host_message> hosts;
+    // At most one entry each, in a message of that type.
+    std::vector<segment_report_message> segment_reports;
+    std::vector<segment_table_message> segment_tables;
     MSGPACK_DEFINE_ARRAY(version, type, host, incarnation, work, number, engine,
                          decision, retry_after_ms, in_time, knowledge, listing,
-                         failure_domain, shares, configuration, hosts)
+                         failure_domain, shares, configuration, hosts,
+                         segment_reports, segment_tables)
 };
 
 std::string encode_message(const host_message& message);
