Take no stream for complete that closed before its first event

Callers saw: 200 with an empty body, framed as whole, when an engine ended between the head of a stream and its first event and the stream had neither a length nor chunks.

Cause: the end of the connection is the proper end of such a response, and a stream without events counted as complete.

Change: a stream without an event of this attempt that ended with its connection counts as broken, so it is also evidence of an engine that crashed.

Left: such a stream that is cut exactly behind an event can't be told from a whole one.

--- a/src/entry/backend_connection.cpp
+++ b/src/entry/backend_connection.cpp
@@ -260,6 +260,7 @@
         parser_.finish();
         if (parser_.current_state() == message_parser::state::complete &&
             !skipping_response_) {
+            response_ended_by_close_ = true;
             on_complete(false);
             return;
         }
--- a/src/entry/backend_connection.hpp
+++ b/src/entry/backend_connection.hpp
@@ -82,6 +82,9 @@
     // Whether the connection is open or new and has no request in progress.
     bool is_free() const { return !closed_ && !request_in_progress_; }
     bool is_closed() const { return closed_; }
+    // Whether the end of the connection was the end of the last response, which
+    // had neither a length nor chunks.
+    bool response_ended_by_close() const { return response_ended_by_close_; }
     // Whether an exchange has completed on the connection.
     bool was_used() const { return exchange_count_ > 0; }
     // When the last complete exchange ended.
@@ -121,6 +124,7 @@
     // Whether the response being read does not belong to the request.
     bool skipping_response_ = false;
     bool request_in_progress_ = false;
+    bool response_ended_by_close_ = false;
     bool closed_ = false;
     // Bytes written on the connection before the current request.
     std::uint64_t bytes_written_before_ = 0;
--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -444,9 +444,12 @@
         return attempt_outcome::broken;
     }
     if (current.is_stream) {
-        // A stream without events is complete too.
-        return relay_.has_partial_event() || relay_.failed() ||
-                       relay_.is_replaying()
+        // A stream without events is complete too, but not if only the end of
+        // the connection says so: a server that crashes closes it as well.
+        const bool crashed_before_events =
+            !current.has_event && current.connection->response_ended_by_close();
+        return crashed_before_events || relay_.has_partial_event() ||
+                       relay_.failed() || relay_.is_replaying()
                    ? attempt_outcome::broken
                    : attempt_outcome::stream_ended;
     }
--- a/tests/entry_path/entry_path_fixture.py
+++ b/tests/entry_path/entry_path_fixture.py
@@ -122,14 +122,13 @@
             sock.close()
 
 
-async def send_request(
-    port, path, method="GET", key="key-1", body=b"", request_id="r-1", **extra_headers
+def encode_request(
+    path, method="GET", key="key-1", body=b"", request_id="r-1", **extra_headers
 ):
-    """Sends one request on a new connection; returns its reader and writer.
+    """Returns the bytes of a request.
 
     `_` in a name of `extra_headers` stands for `-`.
     """
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
     headers = {
         "Host": "h.example",
         REQUEST_ID_HEADER: request_id,
@@ -141,7 +140,13 @@
     headers.update({name.replace("_", "-"): value for name, value in extra_headers.items()})
     lines = [f"{method} {path} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
-    writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+async def send_request(port, path, **options):
+    """Sends one request on a new connection; returns its reader and writer."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(encode_request(path, **options))
     return reader, writer
 
 
--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -402,6 +402,35 @@
         writer.write((self.signed_head(request_id, "Content-Length: 5\r\n\r\n")).encode())
         return True
 
+    def framed_response(self, framing, is_stream, request_id):
+        """Returns a whole response, its head's length and its events' ends.
+
+        `framing`: "length", "chunked" or "close", which has neither.
+        """
+        parts = [self.encode_event(number, {}) for number in (1, 2, 3)]
+        if not is_stream:
+            parts = [b"a document of some length"]
+        fields = f"Content-Type: {'text/event-stream' if is_stream else 'text/plain'}\r\n"
+        if framing == "length":
+            fields += f"Content-Length: {sum(map(len, parts))}\r\n"
+        elif framing == "chunked":
+            fields += "Transfer-Encoding: chunked\r\n"
+        result = self.signed_head(request_id, fields + "\r\n").encode()
+        head_length = len(result)
+        ends = []
+        for part in parts:
+            result += b"%x\r\n%s\r\n" % (len(part), part) if framing == "chunked" else part
+            ends.append(len(result))
+        if framing == "chunked":
+            result += b"0\r\n\r\n"
+        return result, head_length, ends
+
+    async def handle_framed(self, _reader, writer, request_id, _headers, framing, kind, length):
+        """Sends the first `length` bytes of a framed response, then closes."""
+        whole, _, _ = self.framed_response(framing, kind == "stream", request_id)
+        writer.write(whole[: int(length)])
+        return False
+
     async def handle_large_body(self, _reader, writer, request_id, _headers):
         headers = {REQUEST_ID_HEADER: request_id, SIGNATURE_HEADER: self.name}
         writer.write(response(200, headers, b"x" * self.large_body_bytes))
