Answer every request that a stop leaves, and pass on none that would outlast it

Callers saw: in a planned stop, bookings that came in the last of the 3 s in which a stopping host still serves were passed on, waited for a slot of the server, and their connections closed without a response at the end of the grace period. Nobody knew whether they ran.

Cause: a stopping host passed on whatever came in these 3 s, and at the end of the grace period it aborted all calls, also those whose response had not begun.

Change: a request that must not run twice is refused when the completed requests of its route show that it would outlast the stop. Calls that are left are answered before the process ends, and the listeners close before that, as the kernel would accept connections until the process is gone.

That processes that had logged "stopped" still accepted connections is not shown by a test here.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -213,6 +213,28 @@
            route_->kind == fleet_state::route_kind::streaming;
 }
 
+overload::completion_estimate::server_load call::load_of(
+    const fleet_state::backend_server& server) const {
+    // An engine's schedule grants a slot only when one is free.
+    if (is_engine_request()) {
+        return {};
+    }
+    return {std::max(environment_.status.find_or_create(server.id).in_flight,
+                     environment_.status.reported_load(server.id)),
+            server.slots};
+}
+
+bool call::must_not_run_twice() const {
+    return !route_->is_idempotent() && !route_->resumable;
+}
+
+bool call::would_outlast_stop(const fleet_state::backend_server& server) const {
+    const auto left = environment_.time_to_stop();
+    return left && must_not_run_twice() &&
+           environment_.completions.expected(route_->name, load_of(server)) >
+               *left;
+}
+
 void call::send(const fleet_state::backend_server& server) {
     if (!revalidate_route()) {
         return;
@@ -233,6 +255,12 @@
         select_server();
         return;
     }
+    if (would_outlast_stop(server)) {
+        release_slot();
+        take_back_grant();
+        refuse("stopping before the request could end", draining_retry_after);
+        return;
+    }
     platform_wire::forwarded_metadata metadata;
     metadata.expected_server = server.id;
     metadata.organisation = organisation_;
@@ -249,6 +277,7 @@
         platform_wire::encode_forwarded_headers(request_.headers, metadata);
     outgoing.body = request_.body;
 
+    const auto load = load_of(server);
     environment_.reachability.on_request_sent(server.failure_domain);
     auto& status = environment_.status.find_or_create(server.id);
     ++status.in_flight;
@@ -257,6 +286,7 @@
     next.server = server;
     next.health_epoch = status.health.epoch();
     next.sent_at = environment_.loop.now();
+    next.load = load;
     next.is_resumption = response_started_;
     next.earlier_events = relay_.event_count();
     next.connection = environment_.pool.acquire(
@@ -469,6 +499,11 @@
                           attempt_->status < first_server_error);
     update_reachability(result);
     report_.attempt_events = relay_.event_count() - attempt_->earlier_events;
+    if (success && must_not_run_twice()) {
+        environment_.completions.on_completed(
+            route_->name, environment_.loop.now() - attempt_->sent_at,
+            attempt_->load);
+    }
     if (success && !attempt_->is_stream) {
         clear_segments();
     }
@@ -690,6 +725,17 @@
     }
 }
 
+void call::on_stop() {
+    if (ended_ || response_started_) {
+        return;
+    }
+    if (attempt_ && !attempt_->connection->is_closed()) {
+        end_attempt(true, false);
+        may_have_run_ = true;
+    }
+    refuse("stopping", draining_retry_after);
+}
+
 void call::on_caller_disconnected() {
     if (ended_) {
         return;
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -23,6 +23,7 @@
 #include "entry/quarantine_link.hpp"
 #include "entry/read_pacer.hpp"
 #include "overload/attempt_policy.hpp"
+#include "overload/completion_estimate.hpp"
 #include "overload/domain_reachability.hpp"
 #include "overload/host_admission.hpp"
 #include "overload/host_load.hpp"
@@ -44,6 +45,7 @@
     liveness_probe& liveness;
     quarantine_link& quarantine;
     overload::share_meter& shares;
+    overload::completion_estimate& completions;
     call_reporter& reporter;
     std::string failure_domain;
     // Longest time since the configuration was confirmed for which its API keys
@@ -51,6 +53,9 @@
     base::duration max_key_age{};
     // Returns whether the daemon no longer accepts requests.
     std::function<bool()> draining;
+    // Returns the time for which responses can still be relayed before the
+    // daemon stops; empty while it is not stopping.
+    std::function<std::optional<base::duration>()> time_to_stop;
     // Called when a backend server announced in a response that it is about to
     // stop.
     std::function<void(const fleet_state::backend_server&)> on_server_leaving;
@@ -89,6 +94,10 @@
     // Ends the call because the caller closed its connection.
     void on_caller_disconnected();
 
+    // Ends the call because the daemon stops. A response that has begun is left
+    // to be aborted.
+    void on_stop();
+
 private:
     // Fraction of the target time to the first event for which a request may
     // wait for a slot. The engine needs the rest to prefill the prompt.
@@ -105,6 +114,8 @@
         std::uint64_t health_epoch = 0;
         std::shared_ptr<backend_connection> connection;
         base::time_point sent_at{};
+        // Load of the server when the request was sent.
+        overload::completion_estimate::server_load load;
         int status = 0;
         base::http_headers headers;
         fleet_state::response_description description;
@@ -153,6 +164,13 @@
     bool revalidate_route();
     // Whether another server may resume the stream that has begun.
     bool may_resume() const;
+    overload::completion_estimate::server_load load_of(
+        const fleet_state::backend_server& server) const;
+    // Whether a second attempt could execute the request a second time.
+    bool must_not_run_twice() const;
+    // Whether the daemon stops before the server will have completed the
+    // request, which must not run twice.
+    bool would_outlast_stop(const fleet_state::backend_server& server) const;
     // Sends the request to the server unless the call is no longer valid.
     void send(const fleet_state::backend_server& server);
     // Returns false if the response belongs to another request.
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -8,7 +8,9 @@
 #include <cmath>
 #include <csignal>
 #include <fstream>
+#include <iterator>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <random>
 #include <sstream>
 #include <tuple>
@@ -174,6 +176,7 @@
           liveness_probe_,
           quarantine_,
           share_meter_,
+          completion_estimate_,
           call_reporter_,
           settings_.host.failure_domain,
           from_ms(settings_.bounds.revocation_ms) - revocation_margin,
@@ -181,6 +184,9 @@
               return draining_ &&
                      loop_.now() - drain_started_at_ > serve_after_stop;
           },
+          [this] {
+              return draining_ ? std::optional(time_to_stop()) : std::nullopt;
+          },
           [this](const fleet_state::backend_server& server) {
               if (fleet_watch_.on_server_leaving(server)) {
                   connection_pool_.forget(instance_name(server));
@@ -346,19 +352,43 @@
     loop_.run_every(drain_check_interval, [this] { check_drained(); });
 }
 
+base::duration entry_node::time_to_stop() const {
+    return drain_started_at_ + from_ms(settings_.bounds.grace_period_ms) -
+           end_reserve - loop_.now();
+}
+
 void entry_node::check_drained() {
     const base::duration time_since_stop = loop_.now() - drain_started_at_;
     const base::duration grace_period =
         from_ms(settings_.bounds.grace_period_ms);
+    if (time_to_stop() <= base::duration(0) &&
+        !std::exchange(calls_ended_, true)) {
+        // Callers that connect now would get no response.
+        caller_listener_.stop();
+        std::vector<std::shared_ptr<call>> left;
+        std::ranges::transform(calls_, std::back_inserter(left),
+                               [](const auto& entry) { return entry.second; });
+        std::ranges::for_each(left, [](const auto& each) { each->on_stop(); });
+    }
     const bool done = time_since_stop > serve_after_stop && calls_.empty() &&
                       !caller_listener_.has_unsent_responses();
     if (done || time_since_stop > grace_period - exit_reserve) {
-        // A caller must not take a truncated response for a complete one.
-        caller_listener_.abort_responses();
-        loop_.stop();
+        stop();
     }
 }
 
+void entry_node::stop() {
+    // A caller must not take a truncated response for a complete one.
+    caller_listener_.abort_responses();
+    // Until the process is gone, which may take a while, the kernel accepts
+    // connections that nobody would read.
+    caller_listener_.close_idle_connections();
+    caller_listener_.stop();
+    readiness_listener_.stop();
+    operator_listener_.stop();
+    loop_.stop();
+}
+
 absl::Status entry_node::open_peer_socket() {
     udp::endpoint endpoint;
     asio::error_code error;
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -46,8 +46,9 @@
     // that open a connection for each request could exhaust the descriptors
     // within one idle timeout.
     static constexpr double keep_alive_descriptor_ratio = 0.25;
-    // Part of the grace period that is reserved for aborting the responses that
-    // are still in progress and for exiting.
+    // Part of the grace period that is reserved for ending the calls that are
+    // left and for exiting, and the part of it for exiting alone.
+    static constexpr std::chrono::milliseconds end_reserve{600};
     static constexpr std::chrono::milliseconds exit_reserve{400};
 
     quarantine_hooks make_quarantine_hooks();
@@ -55,8 +56,11 @@
     // Applies the settings file if its text has changed.
     void reload_settings();
     void begin_drain();
+    // Time from now to the moment at which calls that are left are ended.
+    base::duration time_to_stop() const;
     // Stops the loop when no call is left or the grace period is nearly over.
     void check_drained();
+    void stop();
     absl::Status open_peer_socket();
     void receive_datagrams();
     void on_datagram(const std::string& sender_address, std::string_view bytes);
@@ -107,6 +111,7 @@
     overload::domain_reachability reachability_;
     liveness_probe liveness_probe_;
     overload::share_meter share_meter_;
+    overload::completion_estimate completion_estimate_;
     overload::fleet_shares fleet_shares_;
     call_reporter call_reporter_;
     overload::host_load host_load_;
@@ -128,6 +133,8 @@
     asio::signal_set signals_;
     std::unordered_map<caller_connection*, std::shared_ptr<call>> calls_;
     bool draining_ = false;
+    // The calls that were left near the end of the grace period were ended.
+    bool calls_ended_ = false;
     bool was_ready_ = false;
     base::time_point drain_started_at_{};
     std::uint64_t datagram_send_failures_ = 0;
--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -276,6 +276,11 @@
         # before they close the connection.
         self.cut_allowed = asyncio.Event()
         self.cut_allowed.set()
+        # Seconds that the behaviour "queue" works on each request, and the
+        # requests that it has begun.
+        self.work_s = 0
+        self.begun_requests = set()
+        self.free_slots = asyncio.Semaphore(slots)
         # Servers whose executions "drop_first_execution" counts together.
         self.counted_servers = [self]
         # Prompt segment, in hexadecimal, on which the server ends when it is to
@@ -431,6 +436,15 @@
         writer.write(whole[: int(length)])
         return False
 
+    async def handle_queue(self, _reader, writer, request_id, _headers):
+        """Works on as many requests as it has slots; the others wait."""
+        async with self.free_slots:
+            self.begun_requests.add(request_id)
+            await asyncio.sleep(self.work_s)
+        headers = {REQUEST_ID_HEADER: request_id, SIGNATURE_HEADER: self.name}
+        writer.write(response(200, headers, b"done"))
+        return True
+
     async def handle_large_body(self, _reader, writer, request_id, _headers):
         headers = {REQUEST_ID_HEADER: request_id, SIGNATURE_HEADER: self.name}
         writer.write(response(200, headers, b"x" * self.large_body_bytes))
