--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -5,10 +5,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_join.h"
 #include "entry/refusal.hpp"
-#include "entry/response_limits.hpp"
-#include "overload/placement.hpp"
 #include "platform/message_codec.hpp"
 
 namespace bronzehub::entry {
@@ -17,47 +14,22 @@
 using overload::attempt_action;
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
-using seconds = std::chrono::duration<double>;
 
 // Number of failed connects after which a request may still be sent to another
 // backend server.
 constexpr std::uint32_t max_connect_failures = 3;
-// Unsent bytes to a slow caller from which on its backend server is not read.
-constexpr std::size_t max_unsent_bytes = std::size_t{256} * 1024;
 // Retry-After while the configuration is missing or outdated.
 constexpr milliseconds configuration_retry_after{1000};
 constexpr milliseconds draining_retry_after{100};
 
-constexpr int ok = 200;
 constexpr int first_redirection = 300;
 constexpr int unauthorised = 401;
 constexpr int not_found = 404;
 constexpr int misdirected = 421;
 constexpr int bad_gateway = 502;
-constexpr int service_unavailable = 503;
 constexpr int gateway_timeout = 504;
 constexpr int first_server_error = 500;
 
-// Returns the Content-Type without its parameters.
-std::string media_type(const base::http_headers& headers) {
-    const auto type = base::find_header(headers, "Content-Type");
-    const std::string_view text = type ? *type : std::string_view();
-    const std::string_view bare = text.substr(0, text.find(';'));
-    return std::string(bare.substr(0, bare.find_last_not_of(' ') + 1));
-}
-
-// Segments beyond this number are left out of the log.
-constexpr std::size_t max_logged_segments = 8;
-
-std::string format_segments(
-    std::span<const fleet_state::prompt_segment> segments) {
-    return absl::StrJoin(
-        segments.first(std::min(segments.size(), max_logged_segments)), ",",
-        [](std::string* text, const fleet_state::prompt_segment& segment) {
-            absl::StrAppend(text, absl::Hex(segment.id));
-        });
-}
-
 }  // namespace
 
 call::call(call_environment& environment,
@@ -328,167 +300,6 @@
     }
 }
 
-void call::on_server_state(
-    int status, const fleet_state::response_description& description) {
-    if (status == misdirected) {
-        return;  // Another server responded.
-    }
-    const fleet_state::backend_server& server = attempt_->server;
-    if (description.is_leaving) {
-        environment_.on_server_leaving(server);
-    }
-    const auto* listed = environment_.servers.find_available(server.id);
-    if (status == service_unavailable && description.retry_after &&
-        listed != nullptr && listed->started_at_ms == server.started_at_ms) {
-        environment_.status.pause(server.id, *description.retry_after);
-        environment_.reporter.on_pause_requested(report_,
-                                                 *description.retry_after);
-    }
-}
-
-bool call::on_head(const message_head& head) {
-    if (!attempt_) {
-        return true;
-    }
-    auto description = platform_wire::describe_response(head.headers);
-    if (description.request_id && *description.request_id != description_.id) {
-        return false;  // A late response to another request.
-    }
-    attempt& current = *attempt_;
-    if (!description.request_id && current.connection->was_used()) {
-        // It may answer an earlier request on the connection, so not even a
-        // rejection shows that this one has not run.
-        current.connection->fail_exchange(
-            "response without a request id on a reused connection");
-        return true;
-    }
-    on_server_state(head.status, description);
-    current.status = head.status;
-    current.headers = head.headers;
-    current.description = std::move(description);
-    if (current.description.keep_alive_timeout) {
-        current.connection->set_keep_alive_timeout(
-            *current.description.keep_alive_timeout);
-    }
-    if (current.description.load) {
-        environment_.status.on_load_report(current.server.id,
-                                           *current.description.load);
-    }
-    current.is_stream = route_->kind == fleet_state::route_kind::streaming &&
-                        head.status == ok &&
-                        current.description.has_signature &&
-                        (!current.is_resumption ||
-                         base::equal_header_names(media_type(head.headers),
-                                                  response_media_type_));
-    const response_properties properties{
-        current.is_stream, current.description.has_signature,
-        current.description.not_run || current.status == misdirected,
-        head.content_length, current.is_resumption};
-    current.max_body_bytes = max_body_bytes(properties);
-    if (const std::string error = head_error(properties); !error.empty()) {
-        current.connection->fail_exchange(error);
-    }
-    return true;
-}
-
-void call::on_body(std::string_view bytes) {
-    if (!attempt_ || ended_) {
-        return;
-    }
-    if (attempt_->is_stream) {
-        relay_events(bytes);
-        return;
-    }
-    if (attempt_->body.size() + bytes.size() > attempt_->max_body_bytes) {
-        // Frees the buffer, as the next attempt may have to wait.
-        attempt_->body = {};
-        attempt_->connection->fail_exchange(
-            body_limit_error(attempt_->max_body_bytes));
-        return;
-    }
-    attempt_->body.append(bytes);
-}
-
-void call::relay_events(std::string_view bytes) {
-    const std::string_view events = relay_.feed(bytes);
-    if (relay_.failed()) {
-        attempt_->connection->fail_exchange(relay_.error());
-    }
-    if (events.empty()) {
-        return;
-    }
-    if (!std::exchange(attempt_->has_event, true)) {
-        clear_segments();
-    }
-    const bool is_first = !std::exchange(response_started_, true);
-    if (is_first) {
-        report_.status = attempt_->status;
-        const auto now = environment_.loop.now();
-        report_.first_byte_after_ms =
-            duration_cast<milliseconds>(now - request_.arrived_at).count();
-        response_media_type_ = media_type(attempt_->headers);
-        caller_->begin_response(attempt_->status, attempt_->headers);
-    }
-    if (search_ && search_->slot_number()) {
-        const base::duration since_grant =
-            environment_.loop.now() - server_selected_at_;
-        environment_.schedule.report_first_event(
-            *search_->slot_number(), since_grant,
-            seconds(since_grant) <=
-                (1 - max_waiting_fraction) * seconds(route_->target_latency));
-    }
-    report_.events = relay_.event_count();
-    caller_->write_body(events);
-    if (caller_->unsent_bytes() > max_unsent_bytes) {
-        attempt_->connection->pause_reading();
-        caller_->on_drained([connection = attempt_->connection] {
-            connection->resume_reading();
-        });
-    } else if (!is_first) {
-        pace_reading();
-    }
-}
-
-void call::pace_reading() {
-    const base::duration delay =
-        environment_.load.event_batching_delay(environment_.max_delivery_delay);
-    if (delay > base::duration(0)) {
-        attempt_->connection->pause_reading();
-        environment_.pacer.defer(delay, [connection = attempt_->connection] {
-            connection->resume_reading();
-        });
-    }
-}
-
-overload::attempt_outcome call::classify_attempt(exchange_result result) const {
-    using overload::attempt_outcome;
-    const attempt& current = *attempt_;
-    if (result == exchange_result::not_sent ||
-        result == exchange_result::connect_timed_out) {
-        return attempt_outcome::not_sent;
-    }
-    // The head is sufficient evidence that the request was not run.
-    if (current.description.not_run || current.status == misdirected) {
-        return attempt_outcome::rejected;
-    }
-    if (result == exchange_result::failed) {
-        return attempt_outcome::broken;
-    }
-    if (current.is_stream) {
-        // A stream without events is complete too, but not if only the end of
-        // the connection says so: a server that crashes closes it as well.
-        const bool crashed_before_events =
-            !current.has_event && current.connection->response_ended_by_close();
-        return crashed_before_events || relay_.has_partial_event() ||
-                       relay_.failed() || relay_.is_replaying()
-                   ? attempt_outcome::broken
-                   : attempt_outcome::stream_ended;
-    }
-    // A response without a signature was not made by a backend server.
-    return current.description.has_signature ? attempt_outcome::answered
-                                             : attempt_outcome::broken;
-}
-
 void call::on_exchange_end(exchange_result result, std::string_view reason) {
     const overload::attempt_outcome outcome = classify_attempt(result);
     if (outcome == overload::attempt_outcome::rejected &&
@@ -511,8 +322,6 @@
         clear_segments();
     }
     if (outcome == overload::attempt_outcome::broken) {
-        report_.segments =
-            format_segments(overload::shared_segments(description_.prompt));
         check_liveness();
     }
     end_trial();
@@ -523,32 +332,6 @@
     handle_outcome(outcome, reason);
 }
 
-void call::check_liveness() {
-    if (!is_engine_request()) {
-        return;
-    }
-    overload::engine_crash crash{
-        instance_name(attempt_->server), {}, attempt_->sent_at};
-    if (!attempt_->has_event) {
-        crash.segments = shared_segments_;
-    }
-    // A trial ends when the crash has been reported, so that the next one does
-    // not begin before.
-    const auto trial = std::exchange(trial_, std::nullopt);
-    environment_.liveness.check(
-        attempt_->server, [&quarantine = environment_.quarantine,
-                           &reporter = environment_.reporter, report = report_,
-                           trial, crash = std::move(crash)](bool has_ended) {
-            if (has_ended) {
-                reporter.on_server_ended(report);
-                quarantine.on_crash(crash);
-            }
-            if (trial) {
-                quarantine.end_trial(*trial);
-            }
-        });
-}
-
 void call::update_reachability(exchange_result result) {
     auto& reachability = environment_.reachability;
     const std::string& domain = attempt_->server.failure_domain;
