Name the sources of a quarantine, and test what its callers are told

The jitter of Retry-After is allowed for in one place. Requests with a quarantined segment are answered 503 within 0.2 s with a Retry-After of over an hour.

--- a/src/entry/call_placement.cpp
+++ b/src/entry/call_placement.cpp
@@ -5,6 +5,7 @@
 
 #include "base/hash.hpp"
 #include "entry/call.hpp"
+#include "entry/refusal.hpp"
 #include "overload/placement.hpp"
 
 namespace bronzehub::entry {
@@ -106,9 +107,7 @@
     if (servers.empty()) {
         return no_server_retry_after;
     }
-    // The jitter of a refusal shortens Retry-After by up to a quarter, and the
-    // caller must not come back before the pause ends.
-    return std::max<base::duration>(shortest + shortest / 3,
+    return std::max<base::duration>(retry_after_at_least(shortest),
                                     no_server_retry_after);
 }
 
--- a/src/entry/call_segments.cpp
+++ b/src/entry/call_segments.cpp
@@ -8,6 +8,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "entry/call.hpp"
+#include "entry/refusal.hpp"
 #include "overload/placement.hpp"
 
 namespace bronzehub::entry {
@@ -90,9 +91,9 @@
 }
 
 void call::refuse_quarantined() {
-    const base::duration remaining =
-        environment_.quarantine.quarantined_for(shared_segments_);
-    refuse("prompt segment quarantined", remaining + remaining / 3);
+    refuse("prompt segment quarantined",
+           retry_after_at_least(
+               environment_.quarantine.quarantined_for(shared_segments_)));
 }
 
 void call::clear_segments() {
--- a/src/entry/quarantine_link.cpp
+++ b/src/entry/quarantine_link.cpp
@@ -224,7 +224,7 @@
             duration_cast<microseconds>(clock_.now() - pending.created_at)
                 .count();
     }
-    send(receiver.address, message_type::segment_report, &report, nullptr);
+    send(receiver.address, report);
 }
 
 void quarantine_link::resend_reports() {
@@ -287,7 +287,7 @@
     if (is_remote) {
         segment_table_message table = make_table();
         table.acknowledged = report.number;
-        send(address, message_type::segment_table, nullptr, &table);
+        send(address, table);
     }
     for (const segment_trial_message& trial : report.trials) {
         request_as_arbiter({{host, trial.number},
@@ -335,7 +335,7 @@
     if (key.host != hosts_.self().name) {
         segment_table_message table = make_table();
         table.granted_trials = {key.number};
-        send(address, message_type::segment_table, nullptr, &table);
+        send(address, table);
     } else if (waiting_.contains(key.number)) {
         finish_wait(key.number, segment_clearance::trial);
     } else {
@@ -381,7 +381,7 @@
     }
     const segment_table_message table = make_table();
     for (const entry_host& peer : hosts_.peers()) {
-        send(peer.address, message_type::segment_table, nullptr, &table);
+        send(peer.address, table);
     }
 }
 
@@ -425,7 +425,7 @@
 
 void quarantine_link::add_quarantine(segment_id segment,
                                      base::duration remaining, bool stored,
-                                     std::string_view arbiter) {
+                                     std::string_view source) {
     if (remaining <= base::duration(0)) {
         return;
     }
@@ -442,7 +442,7 @@
             quarantines_, {},
             [](const auto& entry) { return entry.second.ends_at; }));
     }
-    hooks_.on_quarantined(segment, arbiter);
+    hooks_.on_quarantined(segment, source);
 }
 
 void quarantine_link::on_store_read(
@@ -476,7 +476,7 @@
     }
 }
 
-void quarantine_link::complete_start() {
+void quarantine_link::learn_quarantined() {
     const base::time_point now = clock_.now();
     const base::duration since_start = now - started_at_;
     const bool others_known = hosts_.host_count() > 1;
@@ -495,7 +495,7 @@
 
 void quarantine_link::tick() {
     if (!complete_) {
-        complete_start();
+        learn_quarantined();
     }
     if (!pending_.empty()) {
         resend_reports();
@@ -533,19 +533,25 @@
     }
 }
 
-void quarantine_link::send(const std::string& address, message_type type,
-                           const segment_report_message* report,
-                           const segment_table_message* table) {
-    host_message message;
-    message.type = static_cast<std::uint8_t>(type);
-    message.host = hosts_.self().name;
-    message.incarnation = incarnation_;
-    if (report != nullptr) {
-        message.segment_reports = {*report};
-    }
-    if (table != nullptr) {
-        message.segment_tables = {*table};
-    }
+host_message quarantine_link::make_message(message_type type) const {
+    host_message result;
+    result.type = static_cast<std::uint8_t>(type);
+    result.host = hosts_.self().name;
+    result.incarnation = incarnation_;
+    return result;
+}
+
+void quarantine_link::send(const std::string& address,
+                           const segment_report_message& report) {
+    host_message message = make_message(message_type::segment_report);
+    message.segment_reports = {report};
+    hooks_.send(address, encode_message(message));
+}
+
+void quarantine_link::send(const std::string& address,
+                           const segment_table_message& table) {
+    host_message message = make_message(message_type::segment_table);
+    message.segment_tables = {table};
     hooks_.send(address, encode_message(message));
 }
 
--- a/src/entry/quarantine_link.hpp
+++ b/src/entry/quarantine_link.hpp
@@ -53,7 +53,8 @@
     // Writes a segment to the store; `on_stored` follows if that succeeds.
     std::function<void(overload::segment_id, base::duration lifetime)> store;
     // A segment was found to end engines, or another host told so.
-    std::function<void(overload::segment_id, std::string_view arbiter)>
+    // `source` is the host that did, or "store".
+    std::function<void(overload::segment_id, std::string_view source)>
         on_quarantined;
 };
 
@@ -73,8 +74,8 @@
     // A host that waits for a trial asks again after this time, because the
     // grant may have been lost.
     static constexpr std::chrono::milliseconds trial_request_interval{300};
-    // Shortest time between two tables that the arbiter sends to all hosts, for
-    // a host and for each one more.
+    // The arbiter waits this long between two tables that it sends to all
+    // hosts: the first time, and the second for each host.
     static constexpr std::chrono::milliseconds min_publish_interval{20};
     static constexpr std::chrono::milliseconds publish_interval_per_host{1};
     // Interval of repeated tables while there are segments in them.
@@ -194,12 +195,13 @@
 
     void on_table(const std::string& host, const segment_table_message& table);
     void add_quarantine(overload::segment_id segment, base::duration remaining,
-                        bool stored, std::string_view arbiter);
+                        bool stored, std::string_view source);
     void store_quarantined();
-    void complete_start();
-    void send(const std::string& address, message_type type,
-              const segment_report_message* report,
-              const segment_table_message* table);
+    // Gets the quarantined segments from the arbiter or from the store.
+    void learn_quarantined();
+    void send(const std::string& address, const segment_report_message& report);
+    void send(const std::string& address, const segment_table_message& table);
+    host_message make_message(message_type type) const;
 
     host_directory& hosts_;
     base::clock clock_;
--- a/src/entry/refusal.cpp
+++ b/src/entry/refusal.cpp
@@ -36,4 +36,9 @@
     return result;
 }
 
+base::duration retry_after_at_least(base::duration delay) {
+    return std::chrono::duration_cast<base::duration>(seconds(delay) /
+                                                      (1 - retry_jitter));
+}
+
 }  // namespace bronzehub::entry
--- a/src/entry/refusal.hpp
+++ b/src/entry/refusal.hpp
@@ -31,6 +31,10 @@
 refusal make_refusal(std::string_view request_id, std::string_view cause,
                      base::duration retry_after);
 
+// Returns the base value of a Retry-After that the jitter does not shorten
+// below `delay`.
+base::duration retry_after_at_least(base::duration delay);
+
 }  // namespace bronzehub::entry
 
 #endif
--- a/tests/entry_path/crash_path_test.py
+++ b/tests/entry_path/crash_path_test.py
@@ -18,6 +18,9 @@
 WINDOW_S = 2.0
 CRASHES_BEFORE_WINDOW = 5
 MAX_LATE_ARRIVALS = 3
+# Longest time to a refusal, and the shortest Retry-After in it.
+MAX_REFUSAL_S = 0.2
+MIN_RETRY_AFTER_S = 3600
 SOUND_INTERVAL_S = 1 / 40
 CRASHING_INTERVAL_S = 1 / 4
 SESSIONS = 20
@@ -56,6 +59,9 @@
         self.numbers = itertools.count()
         # (time, status) of each request, by whether it has the segment.
         self.results = {True: [], False: []}
+        # (time, seconds to the response, status, headers) of each request with
+        # the segment.
+        self.refusals = []
         self.callers = set()
 
     async def asyncTearDown(self):
@@ -78,7 +84,7 @@
         sent_at = time.monotonic()
         daemon = self.daemons[number % len(self.daemons)]
         try:
-            status, _, _ = await fetch(
+            status, headers, _ = await fetch(
                 daemon.caller_port,
                 "/plan/",
                 method="POST",
@@ -87,7 +93,9 @@
                 Bronzehub_Token_Usage="1900,20",
             )
         except (OSError, asyncio.IncompleteReadError):
-            status = 0
+            status, headers = 0, {}
+        if has_segment:
+            self.refusals.append((sent_at, time.monotonic() - sent_at, status, headers))
         self.results[has_segment].append((sent_at, status))
 
     async def send_regularly(self, interval_s, make_prompt, has_segment):
@@ -152,7 +160,13 @@
         sound_since = settled_at if disturb else started_at + 3 * WINDOW_S
         self.assertGreater(served_before, 0.9)
         self.assertGreater(self.served_share(sound_since, settled_at + 1.5 * WINDOW_S), 0.9)
-        return crashes
+        # A request that is never served is refused at once, and its caller is
+        # told to stay away.
+        for sent_at, elapsed_s, status, headers in self.refusals:
+            if settled_at <= sent_at < settled_at + 1.5 * WINDOW_S:
+                self.assertEqual(status, 503)
+                self.assertLess(elapsed_s, MAX_REFUSAL_S)
+                self.assertGreater(float(headers["retry-after"]), MIN_RETRY_AFTER_S)
 
     # Guards against one request after another that ends the engine which begins
     # to write on it.
