Use the last of several configurations in one response of the store

Cause: a watch returns each change since the last one, oldest first. The host took the first, which it already knew, noted the version of the last as seen, and confirmed its configuration as the newest from then on. It needs two changes between two reads, as for a host that takes over the reading after its neighbour lost the store. The project's stand-in returned only the current row; it now returns each change.

Before: the new case of entry_path_test.py fails.

--- a/src/entry/fleet_watch.cpp
+++ b/src/entry/fleet_watch.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <ranges>
 #include <utility>
 
 #include "base/hash.hpp"
@@ -216,12 +217,14 @@
 
 void fleet_watch::on_configuration_read(const rows_response& read,
                                         base::time_point sent_at) {
+    // A watch returns each change since the last one, oldest first.
+    const auto newest_first = read.rows | std::views::reverse;
     const auto row =
-        std::ranges::find_if(read.rows, [](const stored_row& entry) {
+        std::ranges::find_if(newest_first, [](const stored_row& entry) {
             return entry.key == platform_wire::configuration_row &&
                    !entry.deleted;
         });
-    if (row != read.rows.end()) {
+    if (row != newest_first.end()) {
         apply_configuration(row->value);
     }
     const base::time_point confirmed_at = confirmation_time(read, sent_at);
--- a/tests/entry_path/entry_path_test.py
+++ b/tests/entry_path/entry_path_test.py
@@ -235,6 +235,19 @@
 
             self.assertLess(await wait_until(is_served), 2)
 
+    # Guards against a host that takes the first of several changes in one response
+    # of the store for the newest one, and then confirms it as such for ever.
+    async def test_last_of_several_configurations_in_one_response_is_used(self):
+        for version, keys in [(2, ("key-1", "key-2")), (3, ("key-1", "key-2")), (4, ("key-2",))]:
+            routes = ROUTES + [route(f"/new{version}/", "idempotent")]
+            self.store.write_json("op", "config", configuration(version, routes, keys))
+
+        async def is_served():
+            return (await self.fetch("/new4/", key="key-2"))[0] == 200
+
+        self.assertLess(await wait_until(is_served), 2)
+        self.assertEqual((await self.fetch("/read/"))[0], 401)
+
     async def test_malformed_configuration_is_ignored(self):
         self.store.write("op", "config", b"{broken")
         await asyncio.sleep(1)
--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -131,6 +131,8 @@
     def __init__(self):
         super().__init__()
         self.rows = {}
+        # All writes: (table, key, value, version).
+        self.history = []
         self.version = 0
         self.changed = asyncio.Event()
         self.request_targets = []
@@ -143,25 +145,37 @@
     def write(self, table, key, value):
         self.version += 1
         self.rows[(table, key)] = (value, self.version)
+        self.history.append((table, key, value, self.version))
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
 
     def write_json(self, table, key, value):
         self.write(table, key, json.dumps(value).encode())
 
-    def encode_rows(self, table, after=-1):
+    def encode_rows(self, table):
         return [
-            {
-                "table-name": table,
-                "part": "",
-                "key": key,
-                "value": base64.b64encode(value).decode(),
-                "row-version": version,
-            }
+            self.encode_row(table, key, value, version)
             for (row_table, key), (value, version) in sorted(self.rows.items())
-            if row_table == table and version > after
+            if row_table == table
+        ]
+
+    def encode_changes(self, table, after):
+        """Returns each change since a version, also several of one row."""
+        return [
+            self.encode_row(*change)
+            for change in self.history
+            if change[0] == table and change[3] > after
         ]
 
+    def encode_row(self, table, key, value, version):
+        return {
+            "table-name": table,
+            "part": "",
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "row-version": version,
+        }
+
     async def serve(self, reader, writer):
         while True:
             line, _, body = await read_message(reader)
@@ -192,7 +206,7 @@
         elif parts.path == "/api/rows-feed":
             if self.fault == "compacted":
                 return response(410)
-            rows = self.encode_rows(query["table-name"], int(query["after"]))
+            rows = self.encode_changes(query["table-name"], int(query["after"]))
             deadline = time.monotonic() + int(query["wait-ms"]) / 1000
             while not rows and time.monotonic() < deadline:
                 try:
@@ -201,7 +215,7 @@
                     )
                 except asyncio.TimeoutError:
                     break
-                rows = self.encode_rows(query["table-name"], int(query["after"]))
+                rows = self.encode_changes(query["table-name"], int(query["after"]))
             result = {"rows": rows}
         elif method == "POST" and parts.path == "/api/rows-tx":
             for row in json.loads(body)["write"]:
