Let a stopping host pass on streams as before

Cause, suspected: a stopping host refused streams that might outlast it, and their callers came back to the same host, which the balancer still used.

Change: only requests to plain services are refused for that; the caller of a stream sees how far it came.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -188,22 +188,20 @@
 
 overload::completion_estimate::server_load call::load_of(
     const fleet_state::backend_server& server) const {
-    // An engine's schedule grants a slot only when one is free.
-    if (is_engine_request()) {
-        return {};
-    }
     return {std::max(environment_.status.find_or_create(server.id).in_flight,
                      environment_.status.reported_load(server.id)),
             server.slots};
 }
 
-bool call::must_not_run_twice() const {
-    return !route_->is_idempotent() && !route_->resumable;
+// The caller of a stream sees how far it came, so only requests to plain
+// services count.
+bool call::must_end_before_stop() const {
+    return !is_engine_request() && !route_->is_idempotent();
 }
 
 bool call::would_outlast_stop(const fleet_state::backend_server& server) const {
     const auto left = environment_.time_to_stop();
-    return left && must_not_run_twice() &&
+    return left && must_end_before_stop() &&
            environment_.completions.expected(route_->name, load_of(server)) >
                *left;
 }
@@ -311,7 +309,7 @@
                           attempt_->status < first_server_error);
     update_reachability(result);
     report_.attempt_events = relay_.event_count() - attempt_->earlier_events;
-    if (success && must_not_run_twice()) {
+    if (success && must_end_before_stop()) {
         environment_.completions.on_completed(
             route_->name, environment_.loop.now() - attempt_->sent_at,
             attempt_->load);
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -166,8 +166,9 @@
     bool may_resume() const;
     overload::completion_estimate::server_load load_of(
         const fleet_state::backend_server& server) const;
-    // Whether a second attempt could execute the request a second time.
-    bool must_not_run_twice() const;
+    // Whether the caller must learn what became of the request before the
+    // daemon stops.
+    bool must_end_before_stop() const;
     // Whether the daemon stops before the server will have completed the
     // request, which must not run twice.
     bool would_outlast_stop(const fleet_state::backend_server& server) const;
