Blame no common segment for the crashes of one behind it

Cause: the common segment had one crash more, from an engine that ended for another reason, so it reached the limit before the segment that was the cause; and a segment that had been exonerated once stayed so after events had cleared it.

Change: a segment that reaches the limit waits while one behind it in the prompt is restricted, up to eight crashes, and an event ends the mark of an exoneration.

Before: two new cases of crash_attribution_test fail. After: they pass, and so do the load patterns of crash_replay_test.

--- a/src/overload/crash_attribution.cpp
+++ b/src/overload/crash_attribution.cpp
@@ -84,6 +84,17 @@
     if (candidates.empty()) {
         return std::nullopt;
     }
+    // The next crashes will show whether a segment that is behind the
+    // candidates in the prompt is the cause.
+    const auto last = std::ranges::find(segments, candidates.back());
+    const bool may_be_explained =
+        std::any_of(std::next(last), segments.end(), [this](segment_id id) {
+            return suspicions_.at(id).crashes.size() >= restricting_crashes;
+        });
+    if (may_be_explained && suspicions_.at(candidates.back()).crashes.size() <
+                                max_unexplained_crashes) {
+        return std::nullopt;
+    }
     const auto exonerated = std::ranges::find_if(
         candidates,
         [this](segment_id id) { return suspicions_.at(id).was_exonerated; });
@@ -120,6 +131,7 @@
         const auto found = suspicions_.find(id);
         if (found != suspicions_.end()) {
             found->second.crashes.clear();
+            found->second.was_exonerated = false;
         }
     }
 }
--- a/src/overload/crash_attribution.hpp
+++ b/src/overload/crash_attribution.hpp
@@ -19,7 +19,8 @@
 // At `quarantining_crashes` a segment is quarantined, and the ends that it
 // explains no longer count against others. If several segments reach the limit
 // together, the last in the prompt, which the fewest requests share, is chosen;
-// if that leaves one to reach the limit again, the latter is.
+// if that leaves one to reach the limit again without an event, the latter is.
+// One that reaches the limit first waits for a restricted one behind it.
 #ifndef BRONZEHUB_OVERLOAD_CRASH_ATTRIBUTION_HPP
 #define BRONZEHUB_OVERLOAD_CRASH_ATTRIBUTION_HPP
 
@@ -69,6 +70,9 @@
 public:
     static constexpr std::uint32_t restricting_crashes = 2;
     static constexpr std::uint32_t quarantining_crashes = 4;
+    // A segment is quarantined from here on even if another one behind it in
+    // the prompt is restricted, too.
+    static constexpr std::uint32_t max_unexplained_crashes = 8;
     // A segment without further crashes is no longer suspect after this time.
     static constexpr std::chrono::minutes suspicion_lifetime{5};
     // A trial whose host does not report its end has ended after this time.
--- a/src/overload/crash_attribution_test.cpp
+++ b/src/overload/crash_attribution_test.cpp
@@ -70,6 +70,35 @@
     CHECK(quarantined == std::set<segment_id>{bad});
 }
 
+// Guards against a common segment that is blamed, because another engine ended
+// under it too, before the segment that ends engines is found.
+TEST_CASE("a common segment with one more crash is not quarantined") {
+    const int unrelated = GENERATE(1, 2);
+    attribution all;
+    for (int i = 0; i < unrelated; ++i) {
+        CHECK_FALSE(all.crash({head, 50 + static_cast<segment_id>(i)}));
+    }
+    std::optional<segment_id> found;
+    for (int i = 0; i < 4 && !found; ++i) {
+        found = all.crash({head, bad});
+    }
+    CHECK(found == bad);
+}
+
+// Guards against a common segment that is blamed for two segments behind it.
+TEST_CASE("an event between two such segments clears the common one") {
+    constexpr segment_id other_bad = 3;
+    attribution all;
+    for (const segment_id culprit : {bad, other_bad}) {
+        std::optional<segment_id> found;
+        for (int i = 0; i < 4 && !found; ++i) {
+            found = all.crash({head, culprit});
+        }
+        CHECK(found == culprit);
+        all.event({head, 60});
+    }
+}
+
 // Guards against a common segment that ends engines whatever follows it, while
 // the segments behind it are blamed one by one.
 TEST_CASE("a segment is found though different segments follow it") {
