Move the sockets and the parser of the entry daemon to a library of their own

Event loop, byte channel, message parser, caller connection and listener know nothing of calls or of the platform: they are now bronzehub_net, in namespace bronzehub::net. No change in behaviour: entry_test, net_test and decoder_fuzz_test pass.

--- a/src/entry/backend_connection.cpp
+++ b/src/entry/backend_connection.cpp
@@ -73,11 +73,12 @@
     return bytes;
 }
 
-backend_connection::backend_connection(event_loop& loop, std::string address)
+backend_connection::backend_connection(net::event_loop& loop,
+                                       std::string address)
     : loop_(loop),
       address_(std::move(address)),
-      parser_(message_kind::response, max_response_head_bytes,
-              {[this](message_head& head) { on_head(head); },
+      parser_(net::message_kind::response, max_response_head_bytes,
+              {[this](net::message_head& head) { on_head(head); },
                [this](std::string_view bytes) { on_body(bytes); }}) {}
 
 void backend_connection::send(const outgoing_request& request,
@@ -137,7 +138,7 @@
 
 void backend_connection::on_connected(tcp::socket socket,
                                       const std::string& bytes) {
-    channel_ = std::make_shared<byte_channel>(loop_, std::move(socket));
+    channel_ = std::make_shared<net::byte_channel>(loop_, std::move(socket));
     channel_->start(
         {[this](std::string_view received) { on_bytes(received); },
          [this](const asio::error_code& error) { on_closed(error); }});
@@ -168,11 +169,11 @@
             return;
         }
         switch (parser_.current_state()) {
-            case message_parser::state::complete:
+            case net::message_parser::state::complete:
                 on_complete(!bytes.empty());
                 break;
-            case message_parser::state::failed:
-            case message_parser::state::head_too_large:
+            case net::message_parser::state::failed:
+            case net::message_parser::state::head_too_large:
                 end_exchange(exchange_result::failed,
                              absl::StrCat("not a response: ",
                                           std::string(parser_.error())));
@@ -183,7 +184,7 @@
     }
 }
 
-void backend_connection::on_head(message_head& head) {
+void backend_connection::on_head(net::message_head& head) {
     constexpr int first_final_status = 200;
     skipping_response_ = head.status < first_final_status;
     if (!skipping_response_ && hooks_) {
@@ -195,7 +196,7 @@
     }
 }
 
-void backend_connection::on_response_skipped(const message_head& head) {
+void backend_connection::on_response_skipped(const net::message_head& head) {
     overhead_.on_skipped_response();
     // In the response to a HEAD request, the framing fields do not tell whether
     // the connection ends with it.
@@ -258,16 +259,16 @@
     }
     if (error == asio::error::eof) {
         parser_.finish();
-        if (parser_.current_state() == message_parser::state::complete &&
+        if (parser_.current_state() == net::message_parser::state::complete &&
             !skipping_response_) {
             response_ended_by_close_ = true;
             on_complete(false);
             return;
         }
     }
-    const bool unsent = channel_ &&
-                        channel_->bytes_written() == bytes_written_before_ &&
-                        parser_.current_state() == message_parser::state::idle;
+    const bool unsent =
+        channel_ && channel_->bytes_written() == bytes_written_before_ &&
+        parser_.current_state() == net::message_parser::state::idle;
     end_exchange(unsent ? exchange_result::not_sent : exchange_result::failed,
                  error.message());
 }
--- a/src/entry/backend_connection.hpp
+++ b/src/entry/backend_connection.hpp
@@ -11,9 +11,9 @@
 #include <string_view>
 
 #include "base/http_header.hpp"
-#include "entry/byte_channel.hpp"
-#include "entry/message_parser.hpp"
 #include "entry/response_limits.hpp"
+#include "net/byte_channel.hpp"
+#include "net/message_parser.hpp"
 
 namespace bronzehub::entry {
 
@@ -34,7 +34,7 @@
 struct exchange_hooks {
     // Returns whether the response belongs to the request. If not, the response
     // is skipped and the next one is read.
-    std::function<bool(const message_head&)> on_head;
+    std::function<bool(const net::message_head&)> on_head;
     // Called for each part of the body of that response.
     std::function<void(std::string_view)> on_body;
     // Called exactly once, unless `close` is called before.
@@ -58,7 +58,7 @@
 class backend_connection
     : public std::enable_shared_from_this<backend_connection> {
 public:
-    backend_connection(event_loop& loop, std::string address);
+    backend_connection(net::event_loop& loop, std::string address);
     backend_connection(const backend_connection&) = delete;
     backend_connection& operator=(const backend_connection&) = delete;
     ~backend_connection() { close(); }
@@ -104,17 +104,17 @@
     void write_request(std::string_view bytes);
     void on_bytes(std::string_view bytes);
     void on_closed(const asio::error_code& error);
-    void on_head(message_head& head);
+    void on_head(net::message_head& head);
     void on_body(std::string_view bytes);
-    void on_response_skipped(const message_head& head);
+    void on_response_skipped(const net::message_head& head);
     void on_complete(bool extra_bytes);
     void end_exchange(exchange_result result, std::string_view reason);
 
-    event_loop& loop_;
+    net::event_loop& loop_;
     std::string address_;
-    std::shared_ptr<byte_channel> channel_;
+    std::shared_ptr<net::byte_channel> channel_;
     std::shared_ptr<asio::ip::tcp::socket> connecting_socket_;
-    message_parser parser_;
+    net::message_parser parser_;
     std::shared_ptr<exchange_hooks> hooks_;
     // Why the exchange must end; empty as long as it may continue.
     std::string failure_;
--- a/src/entry/backend_connection_test.cpp
+++ b/src/entry/backend_connection_test.cpp
@@ -9,10 +9,10 @@
 
 using asio::ip::tcp;
 using bronzehub::entry::backend_connection;
-using bronzehub::entry::event_loop;
 using bronzehub::entry::exchange_hooks;
 using bronzehub::entry::exchange_result;
-using bronzehub::entry::message_head;
+using bronzehub::net::event_loop;
+using bronzehub::net::message_head;
 
 // A connection to a loopback listener that responds with the given bytes.
 struct exchange {
--- a/src/entry/backend_pool.hpp
+++ b/src/entry/backend_pool.hpp
@@ -32,7 +32,7 @@
     // Idle connections that are kept for each server instance.
     static constexpr std::size_t max_idle_per_instance = 16;
 
-    explicit backend_pool(event_loop& loop) : loop_(loop) {}
+    explicit backend_pool(net::event_loop& loop) : loop_(loop) {}
 
     // Returns an idle connection, or a new one that connects when it is first
     // used. `instance` is the `instance_name` of the backend server.
@@ -64,7 +64,7 @@
     // Whether a request may be sent on the connection.
     bool is_usable(const backend_connection& connection, bool idempotent) const;
 
-    event_loop& loop_;
+    net::event_loop& loop_;
     // By instance name; the most recently used connection is last.
     std::map<std::string, std::deque<std::shared_ptr<backend_connection>>>
         idle_;
--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -33,8 +33,8 @@
 }  // namespace
 
 call::call(call_environment& environment,
-           std::shared_ptr<caller_connection> caller, caller_request request,
-           std::function<void(call*)> on_end)
+           std::shared_ptr<net::caller_connection> caller,
+           net::caller_request request, std::function<void(call*)> on_end)
     : environment_(environment),
       caller_(std::move(caller)),
       request_(std::move(request)),
@@ -274,7 +274,7 @@
     const auto self = shared_from_this();
     connection->send(
         outgoing,
-        {[self](const message_head& head) { return self->on_head(head); },
+        {[self](const net::message_head& head) { return self->on_head(head); },
          [self](std::string_view bytes) { self->on_body(bytes); },
          [self](exchange_result result, std::string_view reason) {
              if (self->attempt_ && !self->ended_) {
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -15,13 +15,13 @@
 #include "entry/backend_pool.hpp"
 #include "entry/backend_status.hpp"
 #include "entry/call_report.hpp"
-#include "entry/caller_connection.hpp"
 #include "entry/event_relay.hpp"
 #include "entry/fleet_watch.hpp"
 #include "entry/liveness_probe.hpp"
 #include "entry/place_search.hpp"
 #include "entry/quarantine_link.hpp"
 #include "entry/read_pacer.hpp"
+#include "net/caller_connection.hpp"
 #include "overload/attempt_policy.hpp"
 #include "overload/completion_estimate.hpp"
 #include "overload/domain_reachability.hpp"
@@ -34,7 +34,7 @@
 
 // Objects and limits that all calls of a host share. Must outlive the calls.
 struct call_environment {
-    event_loop& loop;
+    net::event_loop& loop;
     const fleet_watch& fleet;
     fleet_state::backend_directory& servers;
     backend_pool& pool;
@@ -86,8 +86,8 @@
 class call : public std::enable_shared_from_this<call> {
 public:
     call(call_environment& environment,
-         std::shared_ptr<caller_connection> caller, caller_request request,
-         std::function<void(call*)> on_end);
+         std::shared_ptr<net::caller_connection> caller,
+         net::caller_request request, std::function<void(call*)> on_end);
 
     void start();
 
@@ -175,7 +175,7 @@
     // Sends the request to the server unless the call is no longer valid.
     void send(const fleet_state::backend_server& server);
     // Returns false if the response belongs to another request.
-    bool on_head(const message_head& head);
+    bool on_head(const net::message_head& head);
     // Applies what the server of the current attempt tells about itself.
     void on_server_state(int status,
                          const fleet_state::response_description& description);
@@ -222,8 +222,8 @@
     bool is_engine_request() const;
 
     call_environment& environment_;
-    std::shared_ptr<caller_connection> caller_;
-    caller_request request_;
+    std::shared_ptr<net::caller_connection> caller_;
+    net::caller_request request_;
     std::function<void(call*)> on_end_;
     fleet_state::request_description description_;
     fleet_state::configuration_pointer configuration_;
--- a/src/entry/call_response.cpp
+++ b/src/entry/call_response.cpp
@@ -47,7 +47,7 @@
     }
 }
 
-bool call::on_head(const message_head& head) {
+bool call::on_head(const net::message_head& head) {
     if (!attempt_) {
         return true;
     }
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -90,14 +90,14 @@
 
 // Hooks of a listener for the platform or for operators, which has the default
 // limits and is not subject to admission.
-caller_hooks make_internal_hooks(
-    std::function<void(const std::shared_ptr<caller_connection>&,
-                       caller_request)>
+net::caller_hooks make_internal_hooks(
+    std::function<void(const std::shared_ptr<net::caller_connection>&,
+                       net::caller_request)>
         on_request) {
-    caller_hooks hooks;
+    net::caller_hooks hooks;
     hooks.on_request = std::move(on_request);
-    hooks.on_disconnected = [](caller_connection&) {};
-    hooks.limits = [] { return listener_limits{}; };
+    hooks.on_disconnected = [](net::caller_connection&) {};
+    hooks.limits = [] { return net::listener_limits{}; };
     hooks.closes_connections = [] { return false; };
     return hooks;
 }
@@ -195,16 +195,16 @@
            settings_.host.failure_domain}},
       caller_listener_(
           loop_,
-          {[this](const std::shared_ptr<caller_connection>& caller,
-                  caller_request request) {
+          {[this](const std::shared_ptr<net::caller_connection>& caller,
+                  net::caller_request request) {
                on_request(caller, std::move(request));
            },
-           [this](caller_connection& caller) {
+           [this](net::caller_connection& caller) {
                on_caller_disconnected(caller);
            },
            nullptr,
            [this] {
-               listener_limits limits;
+               net::listener_limits limits;
                if (const auto& configuration = fleet_watch_.configuration()) {
                    const auto& configured = configuration->limits();
                    limits = {configured.header_bytes, configured.body_bytes,
@@ -215,7 +215,7 @@
            },
            [this] { return closes_connections(); },
            [this] { return !admission_.should_refuse_next(); },
-           [this](const message_head& head) {
+           [this](const net::message_head& head) {
                return make_early_refusal(head);
            }}),
       readiness_listener_(
@@ -457,8 +457,9 @@
     datagram_send_failures_ += error ? 1 : 0;
 }
 
-void entry_node::on_request(const std::shared_ptr<caller_connection>& caller,
-                            caller_request request) {
+void entry_node::on_request(
+    const std::shared_ptr<net::caller_connection>& caller,
+    net::caller_request request) {
     auto new_call = std::make_shared<call>(
         call_environment_, caller, std::move(request),
         [this, key = caller.get()](call*) { calls_.erase(key); });
@@ -467,7 +468,7 @@
 }
 
 std::optional<std::string> entry_node::make_early_refusal(
-    const message_head& head) {
+    const net::message_head& head) {
     const auto request = platform_wire::describe_request(head.headers);
     if (const auto& configuration = fleet_watch_.configuration()) {
         if (admission_.try_exempt(organisation_of(*configuration, request))) {
@@ -484,7 +485,7 @@
     report.status = response.status;
     report.retry_after_ms = response.retry_after.count();
     call_reporter_.on_call(report);
-    std::string bytes = encode_response_head(
+    std::string bytes = net::encode_response_head(
         response.status, response.headers,
         absl::StrCat("Content-Length: ", response.body.size(), "\r\n"), false);
     if (head.method != "HEAD") {
@@ -493,7 +494,7 @@
     return bytes;
 }
 
-void entry_node::on_caller_disconnected(caller_connection& caller) {
+void entry_node::on_caller_disconnected(net::caller_connection& caller) {
     const auto found = calls_.find(&caller);
     if (found != calls_.end()) {
         const auto disconnected_call = found->second;
@@ -532,13 +533,13 @@
 }
 
 void entry_node::on_readiness_request(
-    const std::shared_ptr<caller_connection>& caller) {
+    const std::shared_ptr<net::caller_connection>& caller) {
     caller->respond(is_ready() ? ok_status : unavailable_status, {}, "");
 }
 
 void entry_node::on_operator_request(
-    const std::shared_ptr<caller_connection>& caller,
-    const caller_request& request) {
+    const std::shared_ptr<net::caller_connection>& caller,
+    const net::caller_request& request) {
     if (request.target == "/metrics") {
         update_metrics();
         caller->respond(ok_status,
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -14,12 +14,12 @@
 #include "entry/call.hpp"
 #include "entry/entry_settings.hpp"
 #include "entry/fleet_watch.hpp"
-#include "entry/http_listener.hpp"
 #include "entry/line_writer.hpp"
 #include "entry/quarantine_store.hpp"
 #include "entry/share_exchange.hpp"
 #include "logging/logging.hpp"
 #include "metrics/metrics.hpp"
+#include "net/http_listener.hpp"
 
 namespace bronzehub::entry {
 
@@ -65,15 +65,18 @@
     void receive_datagrams();
     void on_datagram(const std::string& sender_address, std::string_view bytes);
     void send_datagram(const std::string& address, std::string_view bytes);
-    void on_request(const std::shared_ptr<caller_connection>& caller,
-                    caller_request request);
+    void on_request(const std::shared_ptr<net::caller_connection>& caller,
+                    net::caller_request request);
     // Returns the encoded response to a request that is refused before a call
     // is created, or nothing if the request is exempt from the refusal.
-    std::optional<std::string> make_early_refusal(const message_head& head);
-    void on_caller_disconnected(caller_connection& caller);
-    void on_operator_request(const std::shared_ptr<caller_connection>& caller,
-                             const caller_request& request);
-    void on_readiness_request(const std::shared_ptr<caller_connection>& caller);
+    std::optional<std::string> make_early_refusal(
+        const net::message_head& head);
+    void on_caller_disconnected(net::caller_connection& caller);
+    void on_operator_request(
+        const std::shared_ptr<net::caller_connection>& caller,
+        const net::caller_request& request);
+    void on_readiness_request(
+        const std::shared_ptr<net::caller_connection>& caller);
     bool is_ready() const;
     // Whether connections of callers are closed after the current response.
     bool closes_connections() const;
@@ -95,7 +98,7 @@
     std::string settings_path_;
     // Text of the settings file when it was last read.
     std::string settings_text_;
-    event_loop loop_;
+    net::event_loop loop_;
     line_writer log_writer_;
     logging::logger log_;
     metrics::registry metrics_;
@@ -127,11 +130,11 @@
     quarantine_store quarantine_store_;
     quarantine_link quarantine_;
     call_environment call_environment_;
-    http_listener caller_listener_;
-    http_listener readiness_listener_;
-    http_listener operator_listener_;
+    net::http_listener caller_listener_;
+    net::http_listener readiness_listener_;
+    net::http_listener operator_listener_;
     asio::signal_set signals_;
-    std::unordered_map<caller_connection*, std::shared_ptr<call>> calls_;
+    std::unordered_map<net::caller_connection*, std::shared_ptr<call>> calls_;
     bool draining_ = false;
     // The calls that were left near the end of the grace period were ended.
     bool calls_ended_ = false;
--- a/src/entry/fleet_watch.cpp
+++ b/src/entry/fleet_watch.cpp
@@ -29,9 +29,10 @@
 }  // namespace
 
 fleet_watch::fleet_watch(
-    event_loop& loop, const std::string& store_address, base::duration max_age,
-    fleet_state::backend_directory& servers, host_directory& hosts,
-    datagram_sender send, std::uint64_t incarnation, logging::logger& log,
+    net::event_loop& loop, const std::string& store_address,
+    base::duration max_age, fleet_state::backend_directory& servers,
+    host_directory& hosts, datagram_sender send, std::uint64_t incarnation,
+    logging::logger& log,
     std::function<void(std::string_view)> on_server_removed)
     : loop_(loop),
       servers_(servers),
--- a/src/entry/fleet_watch.hpp
+++ b/src/entry/fleet_watch.hpp
@@ -58,7 +58,7 @@
     // `on_server_removed` is called with the id of each backend server whose
     // instance is no longer listed.
     // `max_age` is the age at which store data must not be acted on any more.
-    fleet_watch(event_loop& loop, const std::string& store_address,
+    fleet_watch(net::event_loop& loop, const std::string& store_address,
                 base::duration max_age, fleet_state::backend_directory& servers,
                 host_directory& hosts, datagram_sender send,
                 std::uint64_t incarnation, logging::logger& log,
@@ -139,7 +139,7 @@
                                        base::time_point sent_at);
     relay_callbacks make_relay_callbacks();
 
-    event_loop& loop_;
+    net::event_loop& loop_;
     fleet_state::backend_directory& servers_;
     host_directory& hosts_;
     std::uint64_t incarnation_;
--- a/src/entry/liveness_probe.hpp
+++ b/src/entry/liveness_probe.hpp
@@ -11,8 +11,8 @@
 #include <string>
 #include <vector>
 
-#include "entry/event_loop.hpp"
 #include "fleet_state/backend_servers.hpp"
+#include "net/event_loop.hpp"
 
 namespace bronzehub::entry {
 
@@ -24,7 +24,7 @@
     // A server that doesn't respond within this time does not count as ended.
     static constexpr std::chrono::milliseconds timeout{400};
 
-    explicit liveness_probe(event_loop& loop) : loop_(loop) {}
+    explicit liveness_probe(net::event_loop& loop) : loop_(loop) {}
 
     // Calls `done` exactly once, later. Callers that ask about the same
     // instance at the same time share one connection.
@@ -36,7 +36,7 @@
 private:
     void finish(const std::string& instance, bool has_ended);
 
-    event_loop& loop_;
+    net::event_loop& loop_;
     // Callers that wait for a result, by instance of the server.
     std::map<std::string, std::vector<callback>> waiting_;
     std::uint64_t probe_count_ = 0;
--- a/src/entry/quarantine_store.cpp
+++ b/src/entry/quarantine_store.cpp
@@ -62,7 +62,7 @@
     return remaining_quarantine{*segment, remaining};
 }
 
-quarantine_store::quarantine_store(event_loop& loop,
+quarantine_store::quarantine_store(net::event_loop& loop,
                                    const std::string& store_address,
                                    std::string host, logging::logger& log)
     : loop_(loop),
--- a/src/entry/quarantine_store.hpp
+++ b/src/entry/quarantine_store.hpp
@@ -38,7 +38,7 @@
     using read_callback =
         std::function<void(const std::vector<remaining_quarantine>&)>;
 
-    quarantine_store(event_loop& loop, const std::string& store_address,
+    quarantine_store(net::event_loop& loop, const std::string& store_address,
                      std::string host, logging::logger& log);
 
     // Reads all rows; calls `done` if that succeeds. Has no effect while
@@ -62,7 +62,7 @@
         const absl::StatusOr<platform_wire::rows_response>& response,
         std::string_view call);
 
-    event_loop& loop_;
+    net::event_loop& loop_;
     std::string host_;
     logging::logger& log_;
     store_client client_;
--- a/src/entry/schedule_link.hpp
+++ b/src/entry/schedule_link.hpp
@@ -16,9 +16,9 @@
 #include <string_view>
 #include <unordered_map>
 
-#include "entry/event_loop.hpp"
 #include "entry/host_directory.hpp"
 #include "entry/schedule_messages.hpp"
+#include "net/event_loop.hpp"
 #include "overload/engine_scheduler.hpp"
 
 namespace bronzehub::entry {
--- a/src/entry/store_client.cpp
+++ b/src/entry/store_client.cpp
@@ -14,7 +14,7 @@
 
 }  // namespace
 
-store_client::store_client(event_loop& loop, std::string address)
+store_client::store_client(net::event_loop& loop, std::string address)
     : loop_(loop), address_(std::move(address)) {}
 
 void store_client::call(const platform_wire::store_request& request,
@@ -43,7 +43,7 @@
     }
     outgoing.body = request.body;
     connection_->send(
-        outgoing, {[this](const message_head& head) {
+        outgoing, {[this](const net::message_head& head) {
                        response_status_ = head.status;
                        return true;
                    },
--- a/src/entry/store_client.hpp
+++ b/src/entry/store_client.hpp
@@ -21,7 +21,7 @@
         std::function<void(absl::StatusOr<platform_wire::rows_response>,
                            base::time_point sent_at)>;
 
-    store_client(event_loop& loop, std::string address);
+    store_client(net::event_loop& loop, std::string address);
 
     // Sends `request` and calls `done` exactly once. If no response has arrived
     // after `timeout`, the result is kDeadlineExceeded; a write may have been
@@ -37,7 +37,7 @@
     void on_body(std::string_view bytes);
     void finish(absl::StatusOr<platform_wire::rows_response> result);
 
-    event_loop& loop_;
+    net::event_loop& loop_;
     std::string address_;
     std::shared_ptr<backend_connection> connection_;
     std::optional<base::timer_id> timeout_timer_;
--- a/src/entry/byte_channel.cpp
+++ b/src/net/byte_channel.cpp
@@ -1,10 +1,10 @@
-#include "entry/byte_channel.hpp"
+#include "net/byte_channel.hpp"
 
 #include <asio/buffer.hpp>
 #include <tuple>
 #include <utility>
 
-namespace bronzehub::entry {
+namespace bronzehub::net {
 namespace {
 
 using asio::ip::tcp;
@@ -220,4 +220,4 @@
                     [self = shared_from_this()] { self->close(); });
 }
 
-}  // namespace bronzehub::entry
+}  // namespace bronzehub::net
--- a/src/entry/byte_channel.hpp
+++ b/src/net/byte_channel.hpp
@@ -1,6 +1,6 @@
 // A non-blocking TCP connection that is read and written through callbacks.
-#ifndef BRONZEHUB_ENTRY_BYTE_CHANNEL_HPP
-#define BRONZEHUB_ENTRY_BYTE_CHANNEL_HPP
+#ifndef BRONZEHUB_NET_BYTE_CHANNEL_HPP
+#define BRONZEHUB_NET_BYTE_CHANNEL_HPP
 
 #include <array>
 #include <asio/ip/tcp.hpp>
@@ -11,9 +11,9 @@
 #include <string>
 #include <string_view>
 
-#include "entry/event_loop.hpp"
+#include "net/event_loop.hpp"
 
-namespace bronzehub::entry {
+namespace bronzehub::net {
 
 // Callbacks of a `byte_channel`.
 struct channel_hooks {
@@ -95,6 +95,6 @@
     std::array<char, 1024> small_read_buffer_;
 };
 
-}  // namespace bronzehub::entry
+}  // namespace bronzehub::net
 
 #endif
--- a/src/entry/byte_channel_test.cpp
+++ b/src/net/byte_channel_test.cpp
@@ -1,4 +1,4 @@
-#include "entry/byte_channel.hpp"
+#include "net/byte_channel.hpp"
 
 #include <asio/ip/address_v4.hpp>
 #include <asio/ip/tcp.hpp>
@@ -8,8 +8,8 @@
 namespace {
 
 using asio::ip::tcp;
-using bronzehub::entry::byte_channel;
-using bronzehub::entry::event_loop;
+using bronzehub::net::byte_channel;
+using bronzehub::net::event_loop;
 
 }  // namespace
 
--- a/src/entry/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -1,10 +1,10 @@
-#include "entry/caller_connection.hpp"
+#include "net/caller_connection.hpp"
 
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 
-namespace bronzehub::entry {
+namespace bronzehub::net {
 namespace {
 
 // Pipelined requests that are buffered until the current response has ended;
@@ -343,4 +343,4 @@
     }
 }
 
-}  // namespace bronzehub::entry
+}  // namespace bronzehub::net
--- a/src/entry/caller_connection.hpp
+++ b/src/net/caller_connection.hpp
@@ -1,7 +1,7 @@
 // The connection of a caller: an HTTP/1.1 server connection that handles one
 // request at a time.
-#ifndef BRONZEHUB_ENTRY_CALLER_CONNECTION_HPP
-#define BRONZEHUB_ENTRY_CALLER_CONNECTION_HPP
+#ifndef BRONZEHUB_NET_CALLER_CONNECTION_HPP
+#define BRONZEHUB_NET_CALLER_CONNECTION_HPP
 
 #include <chrono>
 #include <functional>
@@ -11,10 +11,10 @@
 #include <utility>
 
 #include "base/http_header.hpp"
-#include "entry/byte_channel.hpp"
-#include "entry/message_parser.hpp"
+#include "net/byte_channel.hpp"
+#include "net/message_parser.hpp"
 
-namespace bronzehub::entry {
+namespace bronzehub::net {
 
 // A complete request with its body.
 struct caller_request {
@@ -171,6 +171,6 @@
 std::string encode_response_head(int status, const base::http_headers& headers,
                                  std::string_view framing, bool keep_alive);
 
-}  // namespace bronzehub::entry
+}  // namespace bronzehub::net
 
 #endif
--- a/src/entry/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -1,10 +1,10 @@
-#include "entry/event_loop.hpp"
+#include "net/event_loop.hpp"
 
 #include <algorithm>
 #include <ctime>
 #include <utility>
 
-namespace bronzehub::entry {
+namespace bronzehub::net {
 namespace {
 
 // Shortest delay of the system timer. Timers due within it run together, which
@@ -55,4 +55,4 @@
     });
 }
 
-}  // namespace bronzehub::entry
+}  // namespace bronzehub::net
--- a/src/entry/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -1,7 +1,7 @@
 // The event loop of an entry daemon, which has one thread: sockets, timers and
 // a clock.
-#ifndef BRONZEHUB_ENTRY_EVENT_LOOP_HPP
-#define BRONZEHUB_ENTRY_EVENT_LOOP_HPP
+#ifndef BRONZEHUB_NET_EVENT_LOOP_HPP
+#define BRONZEHUB_NET_EVENT_LOOP_HPP
 
 #include <array>
 #include <asio/io_context.hpp>
@@ -13,7 +13,7 @@
 #include "base/clock.hpp"
 #include "base/timer_queue.hpp"
 
-namespace bronzehub::entry {
+namespace bronzehub::net {
 
 // Returns CLOCK_BOOTTIME: monotonic time that includes time in which the
 // machine is suspended, because cached data grows old during that time too.
@@ -55,6 +55,6 @@
     std::array<char, 65536> read_buffer_{};
 };
 
-}  // namespace bronzehub::entry
+}  // namespace bronzehub::net
 
 #endif
--- a/src/entry/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -1,4 +1,4 @@
-#include "entry/http_listener.hpp"
+#include "net/http_listener.hpp"
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -13,7 +13,7 @@
 #include "absl/strings/str_cat.h"
 #include "base/ip_endpoint.hpp"
 
-namespace bronzehub::entry {
+namespace bronzehub::net {
 namespace {
 
 using asio::ip::tcp;
@@ -225,4 +225,4 @@
         }));
 }
 
-}  // namespace bronzehub::entry
+}  // namespace bronzehub::net
--- a/src/entry/http_listener.hpp
+++ b/src/net/http_listener.hpp
@@ -1,7 +1,7 @@
 // An HTTP/1.1 listener: accepts the connections of callers and passes their
 // requests to hooks.
-#ifndef BRONZEHUB_ENTRY_HTTP_LISTENER_HPP
-#define BRONZEHUB_ENTRY_HTTP_LISTENER_HPP
+#ifndef BRONZEHUB_NET_HTTP_LISTENER_HPP
+#define BRONZEHUB_NET_HTTP_LISTENER_HPP
 
 #include <asio/ip/tcp.hpp>
 #include <cstdint>
@@ -11,9 +11,9 @@
 #include <vector>
 
 #include "absl/status/status.h"
-#include "entry/caller_connection.hpp"
+#include "net/caller_connection.hpp"
 
-namespace bronzehub::entry {
+namespace bronzehub::net {
 
 // Not thread-safe. The hooks of open connections refer to the listener: it must
 // outlive them, and `stop` must be called before it is destroyed.
@@ -75,6 +75,6 @@
     std::uint64_t registration_failures_ = 0;
 };
 
-}  // namespace bronzehub::entry
+}  // namespace bronzehub::net
 
 #endif
--- a/src/entry/message_parser.cpp
+++ b/src/net/message_parser.cpp
@@ -1,10 +1,10 @@
-#include "entry/message_parser.hpp"
+#include "net/message_parser.hpp"
 
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 
-namespace bronzehub::entry {
+namespace bronzehub::net {
 
 // Callbacks of http_parser; the `data` pointer of the library's parser refers
 // to the `message_parser` that they update.
@@ -169,4 +169,4 @@
     }
 }
 
-}  // namespace bronzehub::entry
+}  // namespace bronzehub::net
--- a/src/entry/message_parser.hpp
+++ b/src/net/message_parser.hpp
@@ -4,8 +4,8 @@
 // RESTinio and libcurl buffer and frame messages themselves. An entry daemon
 // relays events as they arrive, on one thread and a fraction of a core, and
 // must know where each message ends. docs/platform.md has the measurements.
-#ifndef BRONZEHUB_ENTRY_MESSAGE_PARSER_HPP
-#define BRONZEHUB_ENTRY_MESSAGE_PARSER_HPP
+#ifndef BRONZEHUB_NET_MESSAGE_PARSER_HPP
+#define BRONZEHUB_NET_MESSAGE_PARSER_HPP
 
 #include <http_parser.h>
 
@@ -18,7 +18,7 @@
 
 #include "base/http_header.hpp"
 
-namespace bronzehub::entry {
+namespace bronzehub::net {
 
 // The request line or status line of a message and its header fields.
 struct message_head {
@@ -113,6 +113,6 @@
     std::string error_;
 };
 
-}  // namespace bronzehub::entry
+}  // namespace bronzehub::net
 
 #endif
--- a/src/entry/message_parser_test.cpp
+++ b/src/net/message_parser_test.cpp
@@ -1,12 +1,12 @@
-#include "entry/message_parser.hpp"
+#include "net/message_parser.hpp"
 
 #include <catch2/catch.hpp>
 
 namespace {
 
-using bronzehub::entry::message_head;
-using bronzehub::entry::message_kind;
-using bronzehub::entry::message_parser;
+using bronzehub::net::message_head;
+using bronzehub::net::message_kind;
+using bronzehub::net::message_parser;
 using state = message_parser::state;
 
 struct parse_result {
--- a/tests/fuzz/decoder_fuzz_test.cpp
+++ b/tests/fuzz/decoder_fuzz_test.cpp
@@ -16,10 +16,10 @@
 #include "entry/event_relay.hpp"
 #include "entry/host_directory.hpp"
 #include "entry/knowledge_relay.hpp"
-#include "entry/message_parser.hpp"
 #include "entry/schedule_link.hpp"
 #include "entry/schedule_messages.hpp"
 #include "entry/share_exchange.hpp"
+#include "net/message_parser.hpp"
 #include "platform/configuration_codec.hpp"
 #include "platform/message_codec.hpp"
 #include "platform/store_codec.hpp"
@@ -29,6 +29,7 @@
 namespace base = bronzehub::base;
 namespace entry = bronzehub::entry;
 namespace fleet_state = bronzehub::fleet_state;
+namespace net = bronzehub::net;
 namespace overload = bronzehub::overload;
 namespace wire = bronzehub::platform_wire;
 using namespace std::chrono_literals;
@@ -166,11 +167,11 @@
 // Requests and responses, whose header fields are decoded as those of both.
 void check_message(const std::string& bytes) {
     for (const auto kind :
-         {entry::message_kind::request, entry::message_kind::response}) {
+         {net::message_kind::request, net::message_kind::response}) {
         std::size_t body_bytes = 0;
-        entry::message_parser parser(
+        net::message_parser parser(
             kind, 65536,
-            {[](entry::message_head& head) {
+            {[](net::message_head& head) {
                  const auto request = wire::describe_request(head.headers);
                  const auto response = wire::describe_response(head.headers);
                  CHECK(fleet_state::token_cost(request) >= 0);
