--- a/src/fleet_state/request_description.hpp
+++ b/src/fleet_state/request_description.hpp
@@ -56,6 +56,9 @@
         std::uint32_t running = 0;
         std::uint32_t waiting = 0;
         std::uint32_t slots = 0;
+        // Time that work takes on the machine of the server at the moment, in
+        // percent of the usual time. Empty if the server does not tell it.
+        std::optional<std::uint32_t> pace_percent = std::nullopt;
     };
     std::optional<load_report> load;
     // How long the backend server keeps an idle connection open.
