Send plain requests where they will be completed first

A part of the servers of a plain service can be slower than the rest for long, and shared machines disturb all of them for moments. Servers were chosen by their load per slot only, so a slow one got as many requests as a fast one. The choice is now by expected time: the mean pace that the server told, over two seconds, times one plus its load per slot. Without the fourth figure all paces are 1 and the choice is as before.

--- a/src/entry/backend_status.cpp
+++ b/src/entry/backend_status.cpp
@@ -28,8 +28,9 @@
         return found->second;
     }
     return servers_
-        .emplace(std::string(server),
-                 server_status{0, 0, {}, capacity::health(health_options())})
+        .emplace(
+            std::string(server),
+            server_status{0, 0, {}, capacity::health(health_options()), {}})
         .first->second;
 }
 
@@ -59,6 +60,13 @@
     server_status& status = find_or_create(server);
     status.reported_load = load.running + load.waiting;
     status.reported_at = clock_.now();
+    if (load.pace_percent) {
+        status.pace.on_report(*load.pace_percent, clock_.now());
+    }
+}
+
+double backend_status::pace(std::string_view server) {
+    return find_or_create(server).pace.ratio(clock_.now());
 }
 
 void backend_status::on_result(std::string_view server, std::uint64_t epoch,
--- a/src/entry/backend_status.hpp
+++ b/src/entry/backend_status.hpp
@@ -13,6 +13,7 @@
 #include "base/clock.hpp"
 #include "capacity/health.hpp"
 #include "fleet_state/request_description.hpp"
+#include "overload/pace_estimate.hpp"
 
 namespace bronzehub::entry {
 
@@ -26,6 +27,7 @@
         std::uint32_t reported_load = 0;
         base::time_point reported_at{};
         capacity::health health;
+        overload::pace_estimate pace;
     };
 
     // Longest pause that a server can ask for. A longer one is more likely an
@@ -42,6 +44,10 @@
     // Returns the last reported load; zero if the report is outdated.
     std::uint32_t reported_load(std::string_view server);
 
+    // Mean time that work takes on the machine of the server, as a ratio of the
+    // usual time; 1 for a server that has not told it lately.
+    double pace(std::string_view server);
+
     void on_load_report(
         std::string_view server,
         const fleet_state::response_description::load_report& load);
--- a/src/entry/call_placement.cpp
+++ b/src/entry/call_placement.cpp
@@ -65,7 +65,8 @@
                 environment_.status.allows_request(server->id) &&
                     !excluded_servers_.contains(server->id) &&
                     !environment_.reachability.is_unreachable(
-                        server->failure_domain)};
+                        server->failure_domain),
+                environment_.status.pace(server->id)};
         });
     const auto* chosen =
         overload::choose_plain_server(candidates, environment_.failure_domain);
--- a/src/overload/placement.cpp
+++ b/src/overload/placement.cpp
@@ -97,7 +97,7 @@
     std::span<const plain_candidate> candidates,
     std::string_view failure_domain) {
     const plain_candidate* best = nullptr;
-    double best_load = 0;
+    double best_time = 0;
     for (const plain_candidate& candidate : candidates) {
         if (!candidate.is_allowed) {
             continue;
@@ -109,9 +109,10 @@
             (std::max(candidate.in_flight, candidate.reported_load) +
              remote_penalty) /
             slots;
-        if (best == nullptr || load < best_load) {
+        const double time = candidate.pace * (1 + load);
+        if (best == nullptr || time < best_time) {
             best = &candidate;
-            best_load = load;
+            best_time = time;
         }
     }
     return best;
--- a/src/overload/placement.hpp
+++ b/src/overload/placement.hpp
@@ -71,11 +71,15 @@
     std::uint32_t reported_load = 0;
     // Whether the recent results of the server permit another request.
     bool is_allowed = true;
+    // Mean time that work takes on the machine of the server, as a ratio of the
+    // usual time.
+    double pace = 1;
 };
 
-// Returns the allowed candidate with the lowest load per slot, or nullptr if
-// none is allowed. A server of another failure domain counts as if it had one
-// more request, so that equally loaded servers nearby are preferred.
+// Returns the allowed candidate that will complete a request first, or nullptr
+// if none is allowed: the expected time is the pace of the server times one
+// plus its load per slot. A server of another failure domain counts as if it
+// had one more request, so that equally loaded servers nearby are preferred.
 const plain_candidate* choose_plain_server(
     std::span<const plain_candidate> candidates,
     std::string_view failure_domain);
--- a/src/overload/placement_test.cpp
+++ b/src/overload/placement_test.cpp
@@ -130,3 +130,21 @@
     candidates[2].is_allowed = false;
     CHECK(choose_plain_server(candidates, "a") == nullptr);
 }
+
+// Load pattern: a part of the servers is half as fast as the rest. Guards
+// against slow servers that get as many requests as fast ones.
+TEST_CASE("a plain request goes where it will be completed first") {
+    const test_fleet fleet(3);
+    const auto [busy_on_fast, pace_of_slow, expected] =
+        GENERATE(table<std::uint32_t, double, std::size_t>({
+            {0, 2, 0},
+            {3, 2, 0},
+            {12, 2, 1},
+            {1, 1, 1},
+        }));
+    const std::vector<plain_candidate> candidates{
+        {fleet.pointers[0], busy_on_fast, 0, true, 1},
+        {fleet.pointers[1], 0, 0, true, pace_of_slow}};
+    CHECK(choose_plain_server(candidates, "")->server ==
+          fleet.pointers[expected]);
+}
