Send late requests that may be repeated to a second server

A few slow answers spoil the figures of callers: a disturbed server keeps a request while others have room. hedging.extra_work_percent (off by default) lets a host send such a request to a second server when it is later than all but that percentage of its like; the first good response wins and the other attempt is cancelled.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -111,6 +111,7 @@
         time_left(), [self = shared_from_this()] { self->on_deadline(); });
     choose_service();
     environment_.retries.on_request(service_->name);
+    environment_.hedging.on_request(service_->name, work());
     if (is_engine_request()) {
         environment_.shares.on_requested(organisation_,
                                          fleet_state::token_cost(description_));
@@ -232,12 +233,42 @@
         refuse("stopping before the request could end", draining_retry_after);
         return;
     }
+    attempt_ = open_attempt(server);
+    attempt_->is_resumption = response_started_;
+    attempt_->earlier_events = relay_.event_count();
+    report_.server = server.id;
+    report_.attempts = attempts_sent_;
+    if (report_.placed_after_ms < 0) {
+        report_.placed_after_ms = duration_cast<milliseconds>(
+                                      server_selected_at_ - request_.arrived_at)
+                                      .count();
+    }
+    arm_second_attempt();
+    start_exchange(*attempt_);
+}
+
+call::attempt call::open_attempt(const fleet_state::backend_server& server) {
+    attempt result;
+    result.server = server;
+    result.load = load_of(server);
+    environment_.reachability.on_request_sent(server.failure_domain);
+    auto& status = environment_.status.find_or_create(server.id);
+    ++status.in_flight;
+    ++attempts_sent_;
+    result.health_epoch = status.health.epoch();
+    result.sent_at = environment_.loop.now();
+    result.connection = environment_.pool.acquire(
+        instance_name(server), server.address, route_->is_idempotent());
+    return result;
+}
+
+void call::start_exchange(const attempt& target) {
     platform_wire::forwarded_metadata metadata;
-    metadata.expected_server = server.id;
+    metadata.expected_server = target.server.id;
     metadata.organisation = organisation_;
     metadata.time_left =
         std::max(duration_cast<milliseconds>(time_left()), milliseconds(1));
-    if (response_started_) {
+    if (target.is_resumption) {
         metadata.resume_after = relay_.last_event_id();
         ++report_.resumptions;
     }
@@ -247,37 +278,30 @@
     outgoing.headers =
         platform_wire::encode_forwarded_headers(request_.headers, metadata);
     outgoing.body = request_.body;
-
-    const auto load = load_of(server);
-    environment_.reachability.on_request_sent(server.failure_domain);
-    auto& status = environment_.status.find_or_create(server.id);
-    ++status.in_flight;
-    ++attempts_sent_;
-    attempt next;
-    next.server = server;
-    next.health_epoch = status.health.epoch();
-    next.sent_at = environment_.loop.now();
-    next.load = load;
-    next.is_resumption = response_started_;
-    next.earlier_events = relay_.event_count();
-    next.connection = environment_.pool.acquire(
-        instance_name(server), server.address, route_->is_idempotent());
-    const auto connection = next.connection;
-    attempt_ = std::move(next);
-    report_.server = server.id;
-    report_.attempts = attempts_sent_;
-    if (report_.placed_after_ms < 0) {
-        report_.placed_after_ms = duration_cast<milliseconds>(
-                                      server_selected_at_ - request_.arrived_at)
-                                      .count();
-    }
+    const auto connection = target.connection;
     const auto self = shared_from_this();
     connection->send(
         outgoing,
-        {[self](const net::message_head& head) { return self->on_head(head); },
-         [self](std::string_view bytes) { self->on_body(bytes); },
-         [self](exchange_result result, std::string_view reason) {
-             if (self->attempt_ && !self->ended_) {
+        {[self, key = connection.get()](const net::message_head& head) {
+             auto& current =
+                 self->is_second(key) ? self->second_ : self->attempt_;
+             return !current || self->on_head(*current, head);
+         },
+         [self, key = connection.get()](std::string_view bytes) {
+             if (self->is_second(key)) {
+                 self->on_second_body(bytes);
+             } else {
+                 self->on_body(bytes);
+             }
+         },
+         [self, key = connection.get()](exchange_result result,
+                                        std::string_view reason) {
+             if (self->ended_) {
+                 return;
+             }
+             if (self->is_second(key)) {
+                 self->on_second_end(result, reason);
+             } else if (self->attempt_) {
                  const auto used = self->attempt_->connection;
                  const auto used_server = self->attempt_->server;
                  self->on_exchange_end(result, reason);
@@ -299,7 +323,8 @@
 }
 
 void call::on_exchange_end(exchange_result result, std::string_view reason) {
-    const overload::attempt_outcome outcome = classify_attempt(result);
+    const overload::attempt_outcome outcome =
+        classify_attempt(*attempt_, result);
     if (outcome == overload::attempt_outcome::rejected &&
         attempt_->status == misdirected) {
         environment_.servers.exclude_instance(attempt_->server.id);
@@ -319,6 +344,9 @@
         attempt_->status < first_redirection) {
         clear_segments();
     }
+    if (outcome == overload::attempt_outcome::answered) {
+        record_latency();
+    }
     if (outcome == overload::attempt_outcome::broken) {
         check_liveness();
     }
@@ -412,6 +440,11 @@
     if (attempt_->is_resumption) {
         environment_.reporter.on_resumption(report_, report_.cause);
     }
+    if (second_ && !usable) {
+        promote_second(true);
+        return;
+    }
+    cancel_second();
     perform(action, context);
 }
 
@@ -535,6 +568,7 @@
         return;
     }
     const auto self = shared_from_this();
+    cancel_second();
     release_slot();
     end_trial();
     if (deadline_timer_) {
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -21,6 +21,7 @@
 #include "entry/place_search.hpp"
 #include "entry/quarantine_link.hpp"
 #include "entry/read_pacer.hpp"
+#include "hedging/second_attempt_policy.hpp"
 #include "net/caller_connection.hpp"
 #include "overload/attempt_policy.hpp"
 #include "overload/completion_estimate.hpp"
@@ -66,6 +67,7 @@
     // caller.
     base::duration max_delivery_delay{};
     search_environment search;
+    hedging::second_attempt_policy& hedging;
 };
 
 // Returns the name of the organisation that holds the request's API key; empty
@@ -174,10 +176,41 @@
     bool would_outlast_stop(const fleet_state::backend_server& server) const;
     // Sends the request to the server unless the call is no longer valid.
     void send(const fleet_state::backend_server& server);
+    // Counts the request at the server and returns an attempt with a
+    // connection.
+    attempt open_attempt(const fleet_state::backend_server& server);
+    // Sends the request on the connection of an attempt.
+    void start_exchange(const attempt& target);
+    // Plain servers of the service, and whether each may get the request.
+    std::vector<overload::plain_candidate> plain_candidates() const;
+
+    // The following functions handle a second attempt, which is sent while the
+    // first one is in progress and replaces it if it responds first.
+    // `hedging::second_attempt_policy` decides whether one may be sent.
+    void arm_second_attempt();
+    void begin_second_attempt();
+    void search_second_engine();
+    void send_second(const fleet_state::backend_server& server);
+    bool is_second(const backend_connection* connection) const {
+        return second_ && second_->connection.get() == connection;
+    }
+    void on_second_body(std::string_view bytes);
+    void on_second_end(exchange_result result, std::string_view reason);
+    // Makes the second attempt the current one. The first one ended without a
+    // usable response, or is ended now.
+    void promote_second(bool first_ended);
+    void cancel_second();
+    // Ends the second attempt without a result.
+    void close_second(bool keep_connection);
+    // Work of the request, in the unit of the limit on second attempts.
+    double work() const;
+    // Records the time that the current attempt took to respond.
+    void record_latency();
+
     // Returns false if the response belongs to another request.
-    bool on_head(const net::message_head& head);
-    // Applies what the server of the current attempt tells about itself.
-    void on_server_state(int status,
+    bool on_head(attempt& current, const net::message_head& head);
+    // Applies what a server tells about itself in a response.
+    void on_server_state(const fleet_state::backend_server& server, int status,
                          const fleet_state::response_description& description);
     void on_body(std::string_view bytes);
     void relay_events(std::string_view bytes);
@@ -190,7 +223,8 @@
     void check_liveness();
     // Records whether the failure domain of the server can be reached.
     void update_reachability(exchange_result result);
-    overload::attempt_outcome classify_attempt(exchange_result result) const;
+    overload::attempt_outcome classify_attempt(const attempt& ended,
+                                               exchange_result result) const;
     void handle_outcome(overload::attempt_outcome outcome,
                         std::string_view reason);
     void perform(overload::attempt_action action,
@@ -247,6 +281,11 @@
     // Ids of the servers at which an attempt failed.
     std::set<std::string> excluded_servers_;
     std::optional<attempt> attempt_;
+    // Second attempt in progress, and the slot that it holds or searches for.
+    std::optional<attempt> second_;
+    std::shared_ptr<place_search> second_search_;
+    std::optional<base::timer_id> second_timer_;
+    base::time_point second_selected_at_{};
     event_relay relay_;
     // Attempts in which bytes of the request may have left this host.
     std::uint32_t attempts_sent_ = 0;
--- a/src/entry/call_placement.cpp
+++ b/src/entry/call_placement.cpp
@@ -53,7 +53,7 @@
     }
 }
 
-void call::select_plain_server() {
+std::vector<overload::plain_candidate> call::plain_candidates() const {
     const auto servers = environment_.servers.available(service_->name);
     std::vector<overload::plain_candidate> candidates;
     std::ranges::transform(
@@ -68,6 +68,11 @@
                         server->failure_domain),
                 environment_.status.pace(server->id)};
         });
+    return candidates;
+}
+
+void call::select_plain_server() {
+    auto candidates = plain_candidates();
     const auto* chosen =
         overload::choose_plain_server(candidates, environment_.failure_domain);
     if (chosen == nullptr) {
--- a/src/entry/call_report.cpp
+++ b/src/entry/call_report.cpp
@@ -132,6 +132,16 @@
         .increment();
 }
 
+void call_reporter::on_second_attempt(const call_report& report,
+                                      std::string_view end) {
+    registry_
+        .add_counter("bronzehub_entry_second_attempts_total",
+                     "Second attempts at requests whose response was late, and "
+                     "those that were not sent, by service and end.",
+                     {{"service", report.service}, {"end", std::string(end)}})
+        .increment();
+}
+
 void call_reporter::on_reachability_change(std::string_view domain,
                                            bool unreachable,
                                            const call_report& report) {
--- a/src/entry/call_report.hpp
+++ b/src/entry/call_report.hpp
@@ -98,6 +98,8 @@
     void on_server_ended(const call_report& report);
     // Counts an attempt to resume a stream by its outcome.
     void on_resumption(const call_report& report, std::string_view outcome);
+    // Counts a second attempt, or a decision against one, by its end.
+    void on_second_attempt(const call_report& report, std::string_view end);
     // Logs that a failure domain became unreachable or reachable for this host.
     // `report` is of the call whose attempt showed the change.
     void on_reachability_change(std::string_view domain, bool unreachable,
--- a/src/entry/call_response.cpp
+++ b/src/entry/call_response.cpp
@@ -30,11 +30,11 @@
 }  // namespace
 
 void call::on_server_state(
-    int status, const fleet_state::response_description& description) {
+    const fleet_state::backend_server& server, int status,
+    const fleet_state::response_description& description) {
     if (status == misdirected) {
         return;  // Another server responded.
     }
-    const fleet_state::backend_server& server = attempt_->server;
     if (description.is_leaving) {
         environment_.on_server_leaving(server);
     }
@@ -47,15 +47,11 @@
     }
 }
 
-bool call::on_head(const net::message_head& head) {
-    if (!attempt_) {
-        return true;
-    }
+bool call::on_head(attempt& current, const net::message_head& head) {
     auto description = platform_wire::describe_response(head.headers);
     if (description.request_id && *description.request_id != description_.id) {
         return false;  // A late response to another request.
     }
-    attempt& current = *attempt_;
     if (!description.request_id && current.connection->was_used()) {
         // It may answer an earlier request on the connection, so not even a
         // rejection shows that this one has not run.
@@ -63,7 +59,7 @@
             "response without a request id on a reused connection");
         return true;
     }
-    on_server_state(head.status, description);
+    on_server_state(current.server, head.status, description);
     current.status = head.status;
     current.headers = head.headers;
     current.description = std::move(description);
@@ -123,6 +119,8 @@
     }
     const bool is_first = !std::exchange(response_started_, true);
     if (is_first) {
+        cancel_second();
+        record_latency();
         report_.status = attempt_->status;
         const auto now = environment_.loop.now();
         report_.first_byte_after_ms =
@@ -161,33 +159,33 @@
     }
 }
 
-overload::attempt_outcome call::classify_attempt(exchange_result result) const {
+overload::attempt_outcome call::classify_attempt(const attempt& ended,
+                                                 exchange_result result) const {
     using overload::attempt_outcome;
-    const attempt& current = *attempt_;
     if (result == exchange_result::not_sent ||
         result == exchange_result::connect_timed_out) {
         return attempt_outcome::not_sent;
     }
     // The head is sufficient evidence that the request was not run.
-    if (current.description.not_run || current.status == misdirected) {
+    if (ended.description.not_run || ended.status == misdirected) {
         return attempt_outcome::rejected;
     }
     if (result == exchange_result::failed) {
         return attempt_outcome::broken;
     }
-    if (current.is_stream) {
+    if (ended.is_stream) {
         // A stream without events is complete too, but not if only the end of
         // the connection says so: a server that crashes closes it as well.
         const bool crashed_before_events =
-            !current.has_event && current.connection->response_ended_by_close();
+            !ended.has_event && ended.connection->response_ended_by_close();
         return crashed_before_events || relay_.has_partial_event() ||
                        relay_.failed() || relay_.is_replaying()
                    ? attempt_outcome::broken
                    : attempt_outcome::stream_ended;
     }
     // A response without a signature was not made by a backend server.
-    return current.description.has_signature ? attempt_outcome::answered
-                                             : attempt_outcome::broken;
+    return ended.description.has_signature ? attempt_outcome::answered
+                                           : attempt_outcome::broken;
 }
 
 }  // namespace bronzehub::entry
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -39,6 +39,8 @@
 // notification of a change and the request itself takes time to arrive.
 constexpr milliseconds revocation_margin{1500};
 
+constexpr double percent = 100;
+
 constexpr int ok_status = 200;
 constexpr int not_found_status = 404;
 constexpr int unavailable_status = 503;
@@ -125,6 +127,7 @@
       reachability_(settings_.host.failure_domain, loop_.clock()),
       liveness_probe_(loop_),
       share_meter_(loop_.clock()),
+      hedging_(settings_.hedging.extra_work_percent / percent, loop_.clock()),
       fleet_shares_(loop_.clock()),
       call_reporter_(log_, metrics_, loop_.clock()),
       host_load_(loop_.clock()),
@@ -192,7 +195,8 @@
           from_ms(settings_.bounds.delivery_ms),
           {servers_, engines_, backend_status_, schedule_, segment_demand_,
            reachability_, host_load_, fleet_shares_,
-           settings_.host.failure_domain}},
+           settings_.host.failure_domain},
+          hedging_},
       caller_listener_(
           loop_,
           {[this](const std::shared_ptr<net::caller_connection>& caller,
@@ -327,6 +331,8 @@
         loaded->store.address != settings_.store.address ||
         loaded->host.name != settings_.host.name;
     settings_.bounds = loaded->bounds;
+    settings_.hedging = loaded->hedging;
+    hedging_.set_extra_work(settings_.hedging.extra_work_percent / percent);
     call_environment_.max_key_age =
         from_ms(settings_.bounds.revocation_ms) - revocation_margin;
     call_environment_.max_delivery_delay =
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -41,6 +41,7 @@
 // From 1 ms, the shortest useful round trip time, to one hour.
 constexpr number_range time_ms_range{1, 3'600'000};
 constexpr number_range ratio_range{0, 10};
+constexpr number_range percent_range{0, 100};
 constexpr number_range count_range{0, 1'000'000};
 // With fewer than 30, the listeners, the store and the log leave no descriptors
 // for the connections of callers.
@@ -95,6 +96,14 @@
     }
 };
 
+template <>
+struct json_schema<entry::entry_hedging_settings> {
+    static void fields(auto& form, auto& value) {
+        form.optional("extra_work_percent", value.extra_work_percent,
+                      percent_range);
+    }
+};
+
 template <>
 struct json_schema<entry::entry_log_settings> {
     static void fields(auto& form, auto& value) {
@@ -110,6 +119,7 @@
         form.required("store", value.store);
         form.optional("bounds", value.bounds);
         form.optional("limits", value.limits);
+        form.optional("hedging", value.hedging);
         form.optional("log", value.log);
     }
 };
--- a/src/entry/entry_settings.hpp
+++ b/src/entry/entry_settings.hpp
@@ -53,6 +53,12 @@
     double descriptors = 1024;
 };
 
+struct entry_hedging_settings {
+    // Work that second attempts at late requests may add, in percent of all
+    // work; zero turns them off.
+    double extra_work_percent = 0;
+};
+
 struct entry_log_settings {
     std::string level = "info";
 };
@@ -63,6 +69,7 @@
     entry_store_settings store;
     entry_bound_settings bounds;
     entry_limit_settings limits;
+    entry_hedging_settings hedging;
     entry_log_settings log;
 };
 
--- a/src/entry/place_search.cpp
+++ b/src/entry/place_search.cpp
@@ -110,7 +110,8 @@
 
 void place_search::request_next() {
     const bool no_candidate_left = next_candidate_ >= candidates_.size();
-    if (no_candidate_left && std::exchange(final_round_, true)) {
+    if (no_candidate_left &&
+        (criteria_.only_if_free || std::exchange(final_round_, true))) {
         report_full();
         return;
     }
@@ -182,7 +183,8 @@
 }
 
 void place_search::report_full() {
-    if (overload::allows_remote_homes(criteria_.prompt)) {
+    if (!criteria_.only_if_free &&
+        overload::allows_remote_homes(criteria_.prompt)) {
         environment_.demand.on_homes_full(
             overload::shared_segments(criteria_.prompt).back().id);
     }
--- a/src/entry/place_search.hpp
+++ b/src/entry/place_search.hpp
@@ -52,6 +52,9 @@
     // The search sets `shared_segments`, the deadlines and `may_wait`;
     // `schedule_link` sets `id`.
     overload::scheduled_request request;
+    // The search ends without a slot if no candidate has a free one, instead of
+    // waiting at one of them.
+    bool only_if_free = false;
 };
 
 // One of these is called after each `start` or `try_next`, unless the search is
--- a/tests/entry_path/entry_path_fixture.py
+++ b/tests/entry_path/entry_path_fixture.py
@@ -66,7 +66,7 @@
 class Daemon:
     """One process of the program under test."""
 
-    def __init__(self, store, name="host-1", domain="a", **bounds):
+    def __init__(self, store, name="host-1", domain="a", settings=None, **bounds):
         self.reserved_sockets = reserve_ports(4)
         self.caller_port, self.readiness_port, self.operator_port, self.peer_port = (
             sock.getsockname()[1] for sock in self.reserved_sockets
@@ -89,6 +89,7 @@
                     **bounds,
                 },
                 "limits": {"descriptors": 100},
+                **(settings or {}),
             },
             self.settings_file,
         )
