Name no organisation by keys that are older than the revocation bound

Cause: on public routes, call::check_key took the organisation from a copy of the keys of any age, so a host that the store refused forwarded requests in the name of an organisation whose key had been revoked. Admission and shares looked up the organisation without a check of the age, too. Such a key now names nobody: requests to public routes go on without an organisation, others get 503 as before. A request that grew too old while it waited is checked again. revalidate_route keeps the previous configuration until the service is chosen again, because a refusal reads it.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -40,32 +40,44 @@
       request_(std::move(request)),
       on_end_(std::move(on_end)) {}
 
-std::string_view organisation_of(
+bool has_fresh_keys(const call_environment& environment) {
+    return environment.loop.now() -
+               environment.fleet.configuration_confirmed_at() <=
+           environment.max_key_age;
+}
+
+std::optional<std::string_view> organisation_of(
+    const call_environment& environment,
     const fleet_state::configuration& configuration,
     const fleet_state::request_description& request) {
     const auto* organisation =
-        request.key.empty()
+        request.key.empty() || !has_fresh_keys(environment)
             ? nullptr
             : configuration.find_organisation_by_key(request.key);
-    return organisation == nullptr ? std::string_view() : organisation->name;
+    return organisation == nullptr
+               ? std::nullopt
+               : std::optional<std::string_view>(organisation->name);
 }
 
-void count_host_refusal(overload::share_meter& shares,
+void count_host_refusal(call_environment& environment,
                         const fleet_state::configuration& configuration,
                         const fleet_state::request_description& request) {
     const double cost = fleet_state::token_cost(request);
-    const std::string_view organisation =
-        organisation_of(configuration, request);
-    if (cost > 0 && !organisation.empty()) {
-        shares.on_requested(organisation, cost);
-        shares.on_refused(organisation, cost, overload::refusal_point::host);
+    const auto organisation =
+        organisation_of(environment, configuration, request);
+    if (cost > 0 && organisation) {
+        environment.shares.on_requested(*organisation, cost);
+        environment.shares.on_refused(*organisation, cost,
+                                      overload::refusal_point::host);
     }
 }
 
 // A request that was accepted together with its connection is only counted
 // here.
 bool call::admit() {
-    const auto organisation = organisation_of(*configuration_, description_);
+    const auto organisation =
+        organisation_of(environment_, *configuration_, description_)
+            .value_or("");
     if (!caller_->take_admission() &&
         environment_.admission.should_refuse_next() &&
         !environment_.admission.try_exempt(organisation)) {
@@ -90,7 +102,7 @@
     if (!admit()) {
         // A new connection of the caller may reach a host with spare time.
         caller_->close_after_response();
-        count_host_refusal(environment_.shares, *configuration_, description_);
+        count_host_refusal(environment_, *configuration_, description_);
         refuse(host_overloaded, overloaded_retry_after);
         return;
     }
@@ -138,24 +150,17 @@
     if (!configuration_->requires_keys()) {
         return true;
     }
-    const fleet_state::organisation* organisation =
-        description_.key.empty()
-            ? nullptr
-            : configuration_->find_organisation_by_key(description_.key);
-    if (!route_->is_public) {
-        const base::duration age =
-            environment_.loop.now() -
-            environment_.fleet.configuration_confirmed_at();
-        if (age > environment_.max_key_age) {
-            refuse("keys not fresh", configuration_retry_after);
-            return false;
-        }
-        if (organisation == nullptr) {
-            respond_error(unauthorised, "unknown key");
-            return false;
-        }
-    }
-    organisation_ = organisation == nullptr ? "" : organisation->name;
+    if (!route_->is_public && !has_fresh_keys(environment_)) {
+        refuse("keys not fresh", configuration_retry_after);
+        return false;
+    }
+    const auto organisation =
+        organisation_of(environment_, *configuration_, description_);
+    if (!route_->is_public && !organisation) {
+        respond_error(unauthorised, "unknown key");
+        return false;
+    }
+    organisation_ = organisation.value_or("");
     report_.organisation = organisation_;
     return true;
 }
@@ -163,10 +168,14 @@
 bool call::revalidate_route() {
     const auto& newest = environment_.fleet.configuration();
     if (newest == configuration_) {
-        return true;
+        // The keys may have become too old while the request waited. A stream
+        // that has begun is the same request and may be resumed.
+        return response_started_ || organisation_.empty() ||
+               has_fresh_keys(environment_) || check_key();
     }
     const std::string service = service_->name;
-    configuration_ = newest;
+    // `service_` points into it until the service is chosen again.
+    const auto previous = std::exchange(configuration_, newest);
     if (!find_route() || !check_key()) {
         return false;
     }
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -68,16 +68,21 @@
     search_environment search;
 };
 
-// Returns the name of the organisation that holds the request's API key; empty
-// if there is none.
-std::string_view organisation_of(
+// Whether the API keys of the configuration are new enough to act on. An older
+// key may have been revoked.
+bool has_fresh_keys(const call_environment& environment);
+
+// Returns the name of the organisation that holds the request's API key;
+// nullopt if there is none or the keys are not fresh.
+std::optional<std::string_view> organisation_of(
+    const call_environment& environment,
     const fleet_state::configuration& configuration,
     const fleet_state::request_description& request);
 
 // Adds a request that an overloaded host refused to the usage of its
 // organisation. Requests to plain services and requests without a known key are
 // not counted, as they use no share of the engines.
-void count_host_refusal(overload::share_meter& shares,
+void count_host_refusal(call_environment& environment,
                         const fleet_state::configuration& configuration,
                         const fleet_state::request_description& request);
 
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -471,10 +471,12 @@
     const net::message_head& head) {
     const auto request = platform_wire::describe_request(head.headers);
     if (const auto& configuration = fleet_watch_.configuration()) {
-        if (admission_.try_exempt(organisation_of(*configuration, request))) {
+        if (admission_.try_exempt(
+                organisation_of(call_environment_, *configuration, request)
+                    .value_or(""))) {
             return std::nullopt;
         }
-        count_host_refusal(share_meter_, *configuration, request);
+        count_host_refusal(call_environment_, *configuration, request);
     }
     call_report report;
     report.request_id = request.id;
--- a/tests/entry_path/entry_path_test.py
+++ b/tests/entry_path/entry_path_test.py
@@ -293,6 +293,31 @@
 
                 await wait_until(is_served, 4)
 
+    # Guards against requests in the name of an organisation whose key may have
+    # been revoked meanwhile: public routes go on without the name.
+    async def test_keys_that_are_not_fresh_name_nobody(self):
+        def organisation(request_id):
+            headers = {each[0]: each[1] for each in self.executions(self.plain)}[request_id]
+            return headers.get("bronzehub-tenant")
+
+        self.assertEqual((await self.fetch("/open/", request_id="r-before"))[0], 200)
+        self.assertEqual(organisation("r-before"), "org-1")
+        self.store.fault = "refuse"
+
+        async def is_unavailable():
+            return (await self.fetch("/read/"))[0] == 503
+
+        await wait_until(is_unavailable, 4)
+        self.assertEqual((await self.fetch("/open/", request_id="r-outage"))[0], 200)
+        self.assertIsNone(organisation("r-outage"))
+        self.store.fault = ""
+
+        async def is_named_again():
+            await self.fetch("/open/", request_id="r-after")
+            return organisation("r-after") == "org-1"
+
+        await wait_until(is_named_again, 4)
+
     # Guards against a planned shutdown that truncates a running stream or
     # refuses requests which arrive while the daemon drains.
     async def test_shutdown_finishes_running_streams(self):
