Keep a refusal for other weights to its own request

Cause: each 421 excluded the server that gave it, for all callers and until its next start, although a server also answers 421 when the caller expects another version of its weights. Three such requests left a host without engines while it said that it was ready. A 421 now excludes a server only if another instance answered: its id differs, no version was expected, or the expected one is there. The exclusion concerns the start of the attempt, not the one listed meanwhile, and lapses after 3 s, so that no host stays without servers while they are listed; a request that then reaches the wrong instance is rejected and not run.

Responses tell the version of the weights for 2 s. A request for others leaves these servers out, and gets 421 at once when none is left; a 421 of the last attempt is passed on as such instead of 503.

--- a/src/entry/backend_status.cpp
+++ b/src/entry/backend_status.cpp
@@ -28,8 +28,9 @@
         return found->second;
     }
     return servers_
-        .emplace(std::string(server),
-                 server_status{0, 0, {}, capacity::health(health_options())})
+        .emplace(
+            std::string(server),
+            server_status{0, 0, {}, capacity::health(health_options()), {}, {}})
         .first->second;
 }
 
@@ -53,6 +54,20 @@
                : 0;
 }
 
+void backend_status::on_weights_report(std::string_view server,
+                                       std::uint64_t weights) {
+    server_status& status = find_or_create(server);
+    status.weights = weights;
+    status.weights_reported_at = clock_.now();
+}
+
+bool backend_status::has_other_weights(std::string_view server,
+                                       std::uint64_t weights) {
+    const server_status& status = find_or_create(server);
+    return status.weights && *status.weights != weights &&
+           clock_.now() - status.weights_reported_at < weights_report_lifetime;
+}
+
 void backend_status::on_load_report(
     std::string_view server,
     const fleet_state::response_description::load_report& load) {
@@ -109,7 +124,11 @@
 void backend_status::remove(std::string_view server) {
     end_pause(server);
     const auto found = servers_.find(server);
-    if (found != servers_.end() && found->second.in_flight == 0) {
+    if (found == servers_.end()) {
+        return;
+    }
+    found->second.weights.reset();
+    if (found->second.in_flight == 0) {
         limited_servers_.erase(found->first);
         servers_.erase(found);
     }
--- a/src/entry/backend_status.hpp
+++ b/src/entry/backend_status.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -26,11 +27,17 @@
         std::uint32_t reported_load = 0;
         base::time_point reported_at{};
         capacity::health health;
+        // Version of its weights in its last response with one.
+        std::optional<std::uint64_t> weights;
+        base::time_point weights_reported_at{};
     };
 
     // Longest pause that a server can ask for. A longer one is more likely an
     // error of the server than its intention.
     static constexpr std::chrono::seconds max_pause{300};
+    // A report of the weights is outdated after this time, so that a change of
+    // the weights is noticed while no requests reach the server.
+    static constexpr std::chrono::seconds weights_report_lifetime{2};
 
     explicit backend_status(base::clock clock) : clock_(std::move(clock)) {}
 
@@ -45,6 +52,9 @@
     void on_load_report(
         std::string_view server,
         const fleet_state::response_description::load_report& load);
+    void on_weights_report(std::string_view server, std::uint64_t weights);
+    // Whether the server recently reported other weights than these.
+    bool has_other_weights(std::string_view server, std::uint64_t weights);
     // Records the result of an attempt. `epoch` is the health epoch of the
     // server when the attempt began. An ejection starts a new epoch, and
     // results of earlier ones are ignored.
@@ -61,8 +71,8 @@
     // Ends the pause of a server that has restarted.
     void end_pause(std::string_view server);
 
-    // Removes the status of a server, but only its pause if attempts at it are
-    // in flight.
+    // Removes the status of a server, but only its pause and its weights if
+    // attempts at it are in flight.
     void remove(std::string_view server);
 
     // Whether `allows_request` may be false for any server.
--- a/src/entry/backend_status_test.cpp
+++ b/src/entry/backend_status_test.cpp
@@ -45,6 +45,27 @@
     CHECK(tested.allows_request("a"));
 }
 
+// Guards against requests for certain weights that reach servers which have
+// others, and against a change of the weights that is never noticed.
+TEST_CASE("a report of other weights counts for a limited time") {
+    paused_clock time;
+    backend_status tested(time.view());
+    CHECK_FALSE(tested.has_other_weights("a", 1));
+    tested.on_weights_report("a", 2);
+    CHECK(tested.has_other_weights("a", 1));
+    CHECK_FALSE(tested.has_other_weights("a", 2));
+    SECTION("a newer report") {
+        tested.on_weights_report("a", 1);
+    }
+    SECTION("no newer report") {
+        time.advance(backend_status::weights_report_lifetime);
+    }
+    SECTION("a new start") {
+        tested.remove("a");
+    }
+    CHECK_FALSE(tested.has_other_weights("a", 1));
+}
+
 // Guards against a successful late response that ends the pause.
 TEST_CASE("results of earlier attempts do not end a pause") {
     paused_clock time;
--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -310,8 +310,9 @@
 void call::on_exchange_end(exchange_result result, std::string_view reason) {
     const overload::attempt_outcome outcome = classify_attempt(result);
     if (outcome == overload::attempt_outcome::rejected &&
-        attempt_->status == misdirected) {
-        environment_.servers.exclude_instance(attempt_->server.id);
+        attempt_->status == misdirected && !is_rejected_for_weights()) {
+        environment_.servers.exclude_instance(attempt_->server.id,
+                                              attempt_->server.started_at_ms);
     }
     const bool success = outcome == overload::attempt_outcome::stream_ended ||
                          (outcome == overload::attempt_outcome::answered &&
@@ -335,7 +336,9 @@
     if (result == exchange_result::not_sent && search_) {
         search_->release_unreached();
     }
-    end_attempt(success, result == exchange_result::complete);
+    // A server that has other weights works.
+    end_attempt(success || is_rejected_for_weights(),
+                result == exchange_result::complete);
     handle_outcome(outcome, reason);
 }
 
@@ -437,6 +440,10 @@
             select_server();
             return;
         case attempt_action::respond_unavailable:
+            if (is_rejected_for_weights()) {
+                reject_expected_weights();
+                return;
+            }
             refuse(overload::to_string(context.outcome), time_to_next_server());
             return;
         case attempt_action::respond_bad_gateway:
@@ -485,6 +492,17 @@
     finish(call_outcome::refused, cause);
 }
 
+// A 421 tells the caller, unlike a 503, that waiting does not help. It states
+// likewise that the request has not run.
+void call::reject_expected_weights() {
+    constexpr std::string_view cause = "no engine has the expected weights";
+    if (response_started_ || may_have_run_) {
+        refuse(cause, no_server_retry_after);
+    } else {
+        respond_error(misdirected, cause);
+    }
+}
+
 void call::respond_error(int status, std::string_view cause) {
     if (response_started_) {
         caller_->abort();
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -158,6 +158,15 @@
     void clear_segments();
     void end_trial();
     void search_engine();
+    // The servers that the request must not be sent to.
+    std::set<std::string> unsuitable_servers() const;
+    // Whether all engines that are listed have other weights than the caller
+    // expects.
+    bool expects_unavailable_weights() const;
+    // Whether the current attempt was rejected because of the weights.
+    bool is_rejected_for_weights() const;
+    // Ends the call because no engine has the expected weights.
+    void reject_expected_weights();
     // Latest time to be granted a slot so that the first event is in time.
     base::time_point start_deadline() const;
     search_criteria make_search_criteria() const;
--- a/src/entry/call_placement.cpp
+++ b/src/entry/call_placement.cpp
@@ -45,6 +45,10 @@
 void call::select_server() {
     attempt_.reset();
     if (is_engine_request()) {
+        if (expects_unavailable_weights()) {
+            reject_expected_weights();
+            return;
+        }
         if (check_segments()) {
             search_engine();
         }
@@ -147,7 +151,32 @@
                 if_active(
                     [&](call& self) { self.on_engines_full(retry_after); });
             }});
-    search_->start(excluded_servers_, latest_start, extended_latest_start);
+    search_->start(unsuitable_servers(), latest_start, extended_latest_start);
+}
+
+std::set<std::string> call::unsuitable_servers() const {
+    std::set<std::string> result = excluded_servers_;
+    if (const auto weights = description_.expected_weights) {
+        for (const auto* server :
+             environment_.servers.available(service_->name)) {
+            if (environment_.status.has_other_weights(server->id, *weights)) {
+                result.insert(server->id);
+            }
+        }
+    }
+    return result;
+}
+
+bool call::expects_unavailable_weights() const {
+    if (!description_.expected_weights) {
+        return false;
+    }
+    const auto servers = environment_.servers.available(service_->name);
+    return !servers.empty() &&
+           std::ranges::all_of(servers, [this](const auto* server) {
+               return environment_.status.has_other_weights(
+                   server->id, *description_.expected_weights);
+           });
 }
 
 search_criteria call::make_search_criteria() const {
--- a/src/entry/call_response.cpp
+++ b/src/entry/call_response.cpp
@@ -71,6 +71,10 @@
         current.connection->set_keep_alive_timeout(
             *current.description.keep_alive_timeout);
     }
+    if (current.description.weights) {
+        environment_.status.on_weights_report(current.server.id,
+                                              *current.description.weights);
+    }
     if (current.description.load) {
         environment_.status.on_load_report(current.server.id,
                                            *current.description.load);
@@ -161,6 +165,12 @@
     }
 }
 
+bool call::is_rejected_for_weights() const {
+    return attempt_ && attempt_->status == misdirected &&
+           fleet_state::is_rejected_for_weights(
+               description_, attempt_->description, attempt_->server.id);
+}
+
 overload::attempt_outcome call::classify_attempt(exchange_result result) const {
     using overload::attempt_outcome;
     const attempt& current = *attempt_;
--- a/src/fleet_state/backend_servers.cpp
+++ b/src/fleet_state/backend_servers.cpp
@@ -28,7 +28,8 @@
         }
         const auto excluded = excluded_instances_.find(server.id);
         if (excluded != excluded_instances_.end()) {
-            if (excluded->second == server.started_at_ms) {
+            if (excluded->second.started_at_ms == server.started_at_ms &&
+                clock_.now() < excluded->second.ends_at) {
                 continue;
             }
             excluded_instances_.erase(excluded);
@@ -76,7 +77,11 @@
     if (!has_listing_ || read_at <= last_read_at_) {
         return {};
     }
-    if (keep_missing_until_ != base::time_point{} ||
+    const bool exclusion_ended =
+        std::ranges::any_of(excluded_instances_, [this](const auto& entry) {
+            return entry.second.ends_at <= clock_.now();
+        });
+    if (exclusion_ended || keep_missing_until_ != base::time_point{} ||
         read_at - last_read_at_ > options_.max_listing_gap) {
         return on_listing(std::vector(listed_), read_at);
     }
@@ -84,12 +89,15 @@
     return {};
 }
 
-void backend_directory::exclude_instance(std::string_view id) {
+void backend_directory::exclude_instance(std::string_view id,
+                                         std::uint64_t started_at_ms) {
     const auto found = servers_.find(id);
-    if (found == servers_.end()) {
+    if (found == servers_.end() ||
+        found->second.started_at_ms != started_at_ms) {
         return;
     }
-    excluded_instances_[found->first] = found->second.started_at_ms;
+    excluded_instances_[found->first] = {
+        started_at_ms, clock_.now() + options_.exclusion_time};
     servers_.erase(found);
     ++generation_;
 }
--- a/src/fleet_state/backend_servers.hpp
+++ b/src/fleet_state/backend_servers.hpp
@@ -60,6 +60,10 @@
     // Time for which an instance that announced its stop is remembered while it
     // is not listed. Longer than a server takes to stop.
     base::duration leaving_lifetime = std::chrono::minutes(10);
+    // Time for which an excluded instance gets no requests. Its registration
+    // lapses within about this time if its address has another owner; until
+    // then each further request to it is rejected and does not run.
+    base::duration exclusion_time = std::chrono::seconds(3);
 };
 
 // Not thread-safe.
@@ -77,10 +81,11 @@
     std::vector<directory_change> on_listing_unchanged(
         base::time_point read_at);
 
-    // Removes the current instance of a server at once, for example after its
-    // address responded under another id. Later listings of the same instance
-    // are ignored.
-    void exclude_instance(std::string_view id);
+    // Removes the instance of a server that started at this time, for example
+    // after its address responded under another id. Listings of the same
+    // instance are ignored for the exclusion time. Has no effect if a later
+    // instance has been listed.
+    void exclude_instance(std::string_view id, std::uint64_t started_at_ms);
 
     // Records that the instance of a server that started at this time announced
     // that it is about to stop. It and earlier instances are draining from then
@@ -114,6 +119,11 @@
         base::time_point last_seen_at;
     };
 
+    struct excluded_instance {
+        std::uint64_t started_at_ms = 0;
+        base::time_point ends_at;
+    };
+
     // Whether the instance or a later one of the same id announced its stop.
     bool is_leaving(const backend_server& server) const;
     void prune_leaving_instances();
@@ -123,8 +133,8 @@
     std::map<std::string, backend_server, std::less<>> servers_;
     // By server id.
     std::map<std::string, leaving_instance, std::less<>> leaving_instances_;
-    // Server id to the start time of its excluded instance.
-    std::map<std::string, std::uint64_t, std::less<>> excluded_instances_;
+    // By server id.
+    std::map<std::string, excluded_instance, std::less<>> excluded_instances_;
     std::uint64_t generation_ = 0;
     bool has_listing_ = false;
     // The last listing; `on_listing_unchanged` applies it again when a grace
--- a/src/fleet_state/backend_servers_test.cpp
+++ b/src/fleet_state/backend_servers_test.cpp
@@ -59,13 +59,40 @@
     paused_clock time;
     backend_directory tested({}, time.view());
     tested.on_listing({make_server("a", 1)}, time.now());
-    tested.exclude_instance("a");
+    tested.exclude_instance("a", 1);
     tested.on_listing({make_server("a", 1)}, time.now());
     CHECK(tested.find_available("a") == nullptr);
     tested.on_listing({make_server("a", 2)}, time.now());
     CHECK(tested.find_available("a") != nullptr);
 }
 
+// Guards against a late response of an address's earlier owner that removes the
+// server which has started there since.
+TEST_CASE("an exclusion concerns the instance that was asked") {
+    const auto [asked, excluded] = GENERATE(
+        table<std::uint64_t, bool>({{1, false}, {2, true}, {3, false}}));
+    paused_clock time;
+    backend_directory tested({}, time.view());
+    tested.on_listing({make_server("a", 2)}, time.now());
+    tested.exclude_instance("a", asked);
+    CHECK((tested.find_available("a") == nullptr) == excluded);
+}
+
+// Guards against a host that is left without servers by rejections until it or
+// the servers start again.
+TEST_CASE("an excluded instance is tried again while it is still listed") {
+    paused_clock time;
+    backend_directory tested({}, time.view());
+    tested.on_listing({make_server("a")}, time.now());
+    tested.exclude_instance("a", 1);
+    time.advance(2s);
+    tested.on_listing_unchanged(time.now());
+    CHECK(tested.find_available("a") == nullptr);
+    time.advance(1s);
+    tested.on_listing_unchanged(time.now());
+    CHECK(tested.find_available("a") != nullptr);
+}
+
 // Guards against new requests to a server that announced its stop in a
 // response, while the store, a peer with older knowledge or a lapsed and
 // renewed registration still shows it as available.
--- a/src/fleet_state/request_description.cpp
+++ b/src/fleet_state/request_description.cpp
@@ -21,4 +21,15 @@
            output_token_weight * estimate_output_tokens(request);
 }
 
+bool is_rejected_for_weights(const request_description& request,
+                             const response_description& rejection,
+                             std::string_view server) {
+    if (!request.expects_weights ||
+        (rejection.server_id && *rejection.server_id != server)) {
+        return false;
+    }
+    return !rejection.weights || !request.expected_weights ||
+           *rejection.weights != *request.expected_weights;
+}
+
 }  // namespace bronzehub::fleet_state
--- a/src/fleet_state/request_description.hpp
+++ b/src/fleet_state/request_description.hpp
@@ -32,6 +32,10 @@
     // often far off.
     std::optional<std::uint32_t> expected_output_tokens;
     std::vector<prompt_segment> prompt;
+    // The caller accepts only an engine with a certain version of its weights;
+    // the version is empty if it is no number.
+    bool expects_weights = false;
+    std::optional<std::uint64_t> expected_weights;
 };
 
 // Estimated number of output tokens: the caller's estimate, else half of the
@@ -65,8 +69,18 @@
     // Value of Retry-After: the time for which the backend server asks for no
     // further requests when it rejects one.
     std::optional<std::chrono::milliseconds> retry_after;
+    // Id of the backend server.
+    std::optional<std::string> server_id;
+    // Version of the engine's weights.
+    std::optional<std::uint64_t> weights;
 };
 
+// Whether a backend server rejected the request as misdirected because of its
+// weights. Otherwise, another instance than `server` has the address.
+bool is_rejected_for_weights(const request_description& request,
+                             const response_description& rejection,
+                             std::string_view server);
+
 }  // namespace bronzehub::fleet_state
 
 #endif
--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -271,6 +271,8 @@
         self.retry_after = None
         # Start time in its registration.
         self.born = 1
+        # Version of its weights. A request that expects another one gets 421.
+        self.weights = 1
         # Id of the request that was rejected last.
         self.rejected_id = None
         # More than the socket buffers hold.
@@ -340,6 +342,8 @@
                 continue
             resumed = LAST_EVENT_ID_HEADER.lower() in headers
             behaviour = (resumed and self.choose_resume_behaviour()) or self.behaviour
+            if headers.get("bronzehub-expected-version") not in (None, str(self.weights)):
+                behaviour = "misdirected"
             self.received_requests.append((time.monotonic(), request_id, resumed, behaviour))
             if behaviour in REJECTION_STATUSES:
                 status = REJECTION_STATUSES[behaviour]
@@ -367,6 +371,15 @@
                 task.cancel()
         self.restart = asyncio.ensure_future(self.start_again())
 
+    async def set_cut(self, cut):
+        """Refuses all connections, as behind a link that resets, or no longer."""
+        if not cut:
+            await Listener.start(self)
+            return
+        self.server.close()
+        for task in list(self.tasks):
+            task.cancel()
+
     async def start_again(self):
         await asyncio.sleep(self.restart_delay_s)
         self.born += 1
@@ -382,7 +395,11 @@
 
     def rejection(self, request_id, status=503):
         """Returns a rejection, without an id if `request_id` is None."""
-        headers = {"Bronzehub-Not-Executed": 1, **self.state_headers()}
+        headers = {
+            "Bronzehub-Not-Executed": 1,
+            "Bronzehub-Weight-Versions": self.weights,
+            **self.state_headers(),
+        }
         if request_id is not None:
             headers[REQUEST_ID_HEADER] = request_id
         if self.retry_after is not None:
--- a/tests/entry_path/server_path_test.py
+++ b/tests/entry_path/server_path_test.py
@@ -233,6 +233,34 @@
         finally:
             await added.stop()
 
+    # Guards against servers that are left out for all callers because one caller
+    # expects other weights, and against a caller that is kept waiting for them.
+    async def test_expectation_of_other_weights_concerns_only_its_request(self):
+        async def status(path, **fields):
+            return (await self.fetch(path, method="POST", **fields))[0]
+
+        for path in ["/chat/", "/plan/", "/long/"]:
+            with self.subTest(path=path):
+                for server in self.model:
+                    server.received_requests.clear()
+                for _ in range(6):
+                    started_at = time.monotonic()
+                    self.assertEqual(await status(path, Bronzehub_Expected_Version="2"), 421)
+                    self.assertLess(time.monotonic() - started_at, 0.2)
+                refused = [self.received(server) for server in self.model]
+                # The servers have told their version.
+                self.assertLessEqual(sum(map(len, refused)), 4)
+                self.assertEqual(set(await self.fetch_all(path, 6)), {200})
+                self.assertEqual(await status(path, Bronzehub_Expected_Version="1"), 200)
+        self.model[0].weights = 2
+        self.assertEqual(set(await self.fetch_all("/plan/", 12)), {200})
+
+        async def is_found():
+            return await status("/plan/", Bronzehub_Expected_Version="2") == 200
+
+        await wait_until(is_found, 4)
+        self.assertEqual(set(await self.fetch_all("/plan/", 4)), {200})
+
     # Guards against hundreds of hosts that each read a new configuration, or the
     # table of hosts, from the store.
     async def test_only_one_host_of_a_domain_reads_the_store(self):
