Take a refused port for the end of an engine only beside one that accepts

Cause: liveness_probe took a refused connection for the end of an engine. A cut with resets refuses the connections to a whole failure domain, so hosts blamed the segments of all requests that broke off, and quarantined those that most requests of a route share for 24 h.

server_end_check decides now from several connects: the port must refuse before and after another server of the failure domain accepts a connection, 0.1 s apart, or the listing shows a later start of the engine. While nothing in the domain accepts, the check goes on for 3 s and then leaves the question open. The end of a registration is left out: those of a cut-off domain lapse, too, though its engines go on.

--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -123,7 +123,7 @@
                     loop_.clock()),
       segment_demand_(loop_.clock()),
       reachability_(settings_.host.failure_domain, loop_.clock()),
-      liveness_probe_(loop_),
+      liveness_probe_(loop_, servers_),
       share_meter_(loop_.clock()),
       fleet_shares_(loop_.clock()),
       call_reporter_(log_, metrics_, loop_.clock()),
--- a/src/entry/liveness_probe.hpp
+++ b/src/entry/liveness_probe.hpp
@@ -1,11 +1,12 @@
-// Tells a backend server that has ended from one that only closed a connection.
+// Tells a backend server that has ended from one that only closed a connection
+// or can't be reached.
 //
-// A process that has ended no longer listens, so connections to its address are
-// refused. The probe opens one connection and closes it without sending
-// anything.
+// Performs the connects of `overload::server_end_check`, which are closed
+// without sending anything.
 #ifndef BRONZEHUB_ENTRY_LIVENESS_PROBE_HPP
 #define BRONZEHUB_ENTRY_LIVENESS_PROBE_HPP
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <string>
@@ -13,6 +14,7 @@
 
 #include "fleet_state/backend_servers.hpp"
 #include "net/event_loop.hpp"
+#include "overload/server_end_check.hpp"
 
 namespace bronzehub::entry {
 
@@ -23,22 +25,42 @@
 
     // A server that doesn't respond within this time does not count as ended.
     static constexpr std::chrono::milliseconds timeout{400};
+    // Servers of the failure domain that are tried at the same time. One that
+    // accepts is enough, and some may have ended, too.
+    static constexpr std::size_t max_neighbours = 3;
 
-    explicit liveness_probe(net::event_loop& loop) : loop_(loop) {}
+    liveness_probe(net::event_loop& loop,
+                   const fleet_state::backend_directory& servers)
+        : loop_(loop), servers_(servers) {}
 
     // Calls `done` exactly once, later. Callers that ask about the same
-    // instance at the same time share one connection.
+    // instance at the same time share one check.
     void check(const fleet_state::backend_server& server, callback done);
 
     // Number of connections opened so far.
     std::uint64_t probe_count() const { return probe_count_; }
 
 private:
-    void finish(const std::string& instance, bool has_ended);
+    using connect_callback = std::function<void(overload::connect_result)>;
+
+    struct running_check {
+        fleet_state::backend_server server;
+        overload::server_end_check decision;
+        std::vector<callback> callers;
+        // Number of neighbours tried so far.
+        std::size_t neighbours_tried = 0;
+    };
+
+    void perform_next_step(const std::string& instance);
+    void connect_to_neighbours(const std::string& instance,
+                               running_check& check);
+    void connect(const std::string& address, const connect_callback& done);
+    void finish(const std::string& instance);
 
     net::event_loop& loop_;
-    // Callers that wait for a result, by instance of the server.
-    std::map<std::string, std::vector<callback>> waiting_;
+    const fleet_state::backend_directory& servers_;
+    // By instance of the server.
+    std::map<std::string, running_check> checks_;
     std::uint64_t probe_count_ = 0;
 };
 
--- a/tests/entry_path/crash_path_test.py
+++ b/tests/entry_path/crash_path_test.py
@@ -204,6 +204,32 @@
         await asyncio.sleep(2)
         self.assertGreater(self.served_share(back_at, back_at + 1.5), 0.95)
 
+    # Guards against segments that most requests share and that are held back
+    # because a failure domain was cut off with resets, though no engine ended.
+    async def test_segments_are_served_after_cuts_of_a_failure_domain(self):
+        self.start_traffic()
+        await asyncio.sleep(1)
+        far = [engine for engine in self.engines if engine.domain == "b"]
+        for _ in range(6):
+            for engine in far:
+                await engine.set_cut(True)
+            await asyncio.sleep(1)
+            for engine in far:
+                await engine.set_cut(False)
+            await asyncio.sleep(0.5)
+        healed_at = time.monotonic()
+        await asyncio.sleep(2)
+        rows = [key for table, key in self.store.rows if table == "quarantined_segments"]
+        self.assertEqual(rows, [])
+        ended = [
+            line
+            for daemon in self.daemons
+            for line in daemon.log_entries()
+            if line["message"] == "backend server ended"
+        ]
+        self.assertEqual(ended, [])
+        self.assertGreater(self.served_share(healed_at, healed_at + 1.5), 0.95)
+
 
 if __name__ == "__main__":
     run_cases()
