--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -40,32 +40,44 @@
       request_(std::move(request)),
       on_end_(std::move(on_end)) {}
 
-std::string_view organisation_of(
+bool has_fresh_keys(const call_environment& environment) {
+    return environment.loop.now() -
+               environment.fleet.configuration_confirmed_at() <=
+           environment.max_key_age;
+}
+
+std::optional<std::string_view> organisation_of(
+    const call_environment& environment,
     const fleet_state::configuration& configuration,
     const fleet_state::request_description& request) {
     const auto* organisation =
-        request.key.empty()
+        request.key.empty() || !has_fresh_keys(environment)
             ? nullptr
             : configuration.find_organisation_by_key(request.key);
-    return organisation == nullptr ? std::string_view() : organisation->name;
+    return organisation == nullptr
+               ? std::nullopt
+               : std::optional<std::string_view>(organisation->name);
 }
 
-void count_host_refusal(overload::share_meter& shares,
+void count_host_refusal(call_environment& environment,
                         const fleet_state::configuration& configuration,
                         const fleet_state::request_description& request) {
     const double cost = fleet_state::token_cost(request);
-    const std::string_view organisation =
-        organisation_of(configuration, request);
-    if (cost > 0 && !organisation.empty()) {
-        shares.on_requested(organisation, cost);
-        shares.on_refused(organisation, cost, overload::refusal_point::host);
+    const auto organisation =
+        organisation_of(environment, configuration, request);
+    if (cost > 0 && organisation) {
+        environment.shares.on_requested(*organisation, cost);
+        environment.shares.on_refused(*organisation, cost,
+                                      overload::refusal_point::host);
     }
 }
 
 // A request that was accepted together with its connection is only counted
 // here.
 bool call::admit() {
-    const auto organisation = organisation_of(*configuration_, description_);
+    const auto organisation =
+        organisation_of(environment_, *configuration_, description_)
+            .value_or("");
     if (!caller_->take_admission() &&
         environment_.admission.should_refuse_next() &&
         !environment_.admission.try_exempt(organisation)) {
@@ -90,7 +102,7 @@
     if (!admit()) {
         // A new connection of the caller may reach a host with spare time.
         caller_->close_after_response();
-        count_host_refusal(environment_.shares, *configuration_, description_);
+        count_host_refusal(environment_, *configuration_, description_);
         refuse(host_overloaded, overloaded_retry_after);
         return;
     }
@@ -139,24 +151,17 @@
     if (!configuration_->requires_keys()) {
         return true;
     }
-    const fleet_state::organisation* organisation =
-        description_.key.empty()
-            ? nullptr
-            : configuration_->find_organisation_by_key(description_.key);
-    if (!route_->is_public) {
-        const base::duration age =
-            environment_.loop.now() -
-            environment_.fleet.configuration_confirmed_at();
-        if (age > environment_.max_key_age) {
-            refuse("keys not fresh", configuration_retry_after);
-            return false;
-        }
-        if (organisation == nullptr) {
-            respond_error(unauthorised, "unknown key");
-            return false;
-        }
-    }
-    organisation_ = organisation == nullptr ? "" : organisation->name;
+    if (!route_->is_public && !has_fresh_keys(environment_)) {
+        refuse("keys not fresh", configuration_retry_after);
+        return false;
+    }
+    const auto organisation =
+        organisation_of(environment_, *configuration_, description_);
+    if (!route_->is_public && !organisation) {
+        respond_error(unauthorised, "unknown key");
+        return false;
+    }
+    organisation_ = organisation.value_or("");
     report_.organisation = organisation_;
     return true;
 }
@@ -164,10 +169,14 @@
 bool call::revalidate_route() {
     const auto& newest = environment_.fleet.configuration();
     if (newest == configuration_) {
-        return true;
+        // The keys may have become too old while the request waited. A stream
+        // that has begun is the same request and may be resumed.
+        return response_started_ || organisation_.empty() ||
+               has_fresh_keys(environment_) || check_key();
     }
     const std::string service = service_->name;
-    configuration_ = newest;
+    // `service_` points into it until the service is chosen again.
+    const auto previous = std::exchange(configuration_, newest);
     if (!find_route() || !check_key()) {
         return false;
     }
@@ -326,8 +335,9 @@
     const overload::attempt_outcome outcome =
         classify_attempt(*attempt_, result);
     if (outcome == overload::attempt_outcome::rejected &&
-        attempt_->status == misdirected) {
-        environment_.servers.exclude_instance(attempt_->server.id);
+        attempt_->status == misdirected && !is_rejected_for_weights()) {
+        environment_.servers.exclude_instance(attempt_->server.id,
+                                              attempt_->server.started_at_ms);
     }
     const bool success = outcome == overload::attempt_outcome::stream_ended ||
                          (outcome == overload::attempt_outcome::answered &&
@@ -354,7 +364,9 @@
     if (result == exchange_result::not_sent && search_) {
         search_->release_unreached();
     }
-    end_attempt(success, result == exchange_result::complete);
+    // A server that has other weights works.
+    end_attempt(success || is_rejected_for_weights(),
+                result == exchange_result::complete);
     handle_outcome(outcome, reason);
 }
 
@@ -461,6 +473,10 @@
             select_server();
             return;
         case attempt_action::respond_unavailable:
+            if (is_rejected_for_weights()) {
+                reject_expected_weights();
+                return;
+            }
             refuse(overload::to_string(context.outcome), time_to_next_server());
             return;
         case attempt_action::respond_bad_gateway:
@@ -509,6 +525,17 @@
     finish(call_outcome::refused, cause);
 }
 
+// A 421 tells the caller, unlike a 503, that waiting does not help. It states
+// likewise that the request has not run.
+void call::reject_expected_weights() {
+    constexpr std::string_view cause = "no engine has the expected weights";
+    if (response_started_ || may_have_run_) {
+        refuse(cause, no_server_retry_after);
+    } else {
+        respond_error(misdirected, cause);
+    }
+}
+
 void call::respond_error(int status, std::string_view cause) {
     if (response_started_) {
         caller_->abort();
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -70,16 +70,21 @@
     hedging::second_attempt_policy& hedging;
 };
 
-// Returns the name of the organisation that holds the request's API key; empty
-// if there is none.
-std::string_view organisation_of(
+// Whether the API keys of the configuration are new enough to act on. An older
+// key may have been revoked.
+bool has_fresh_keys(const call_environment& environment);
+
+// Returns the name of the organisation that holds the request's API key;
+// nullopt if there is none or the keys are not fresh.
+std::optional<std::string_view> organisation_of(
+    const call_environment& environment,
     const fleet_state::configuration& configuration,
     const fleet_state::request_description& request);
 
 // Adds a request that an overloaded host refused to the usage of its
 // organisation. Requests to plain services and requests without a known key are
 // not counted, as they use no share of the engines.
-void count_host_refusal(overload::share_meter& shares,
+void count_host_refusal(call_environment& environment,
                         const fleet_state::configuration& configuration,
                         const fleet_state::request_description& request);
 
@@ -155,6 +160,15 @@
     void clear_segments();
     void end_trial();
     void search_engine();
+    // The servers that the request must not be sent to.
+    std::set<std::string> unsuitable_servers() const;
+    // Whether all engines that are listed have other weights than the caller
+    // expects.
+    bool expects_unavailable_weights() const;
+    // Whether the current attempt was rejected because of the weights.
+    bool is_rejected_for_weights() const;
+    // Ends the call because no engine has the expected weights.
+    void reject_expected_weights();
     // Latest time to be granted a slot so that the first event is in time.
     base::time_point start_deadline() const;
     search_criteria make_search_criteria() const;
--- a/src/entry/call_second_attempt.cpp
+++ b/src/entry/call_second_attempt.cpp
@@ -113,7 +113,7 @@
                 });
             },
             give_up, [give_up](base::duration) { give_up(); }});
-    auto excluded = excluded_servers_;
+    auto excluded = unsuitable_servers();
     excluded.insert(attempt_->server.id);
     const auto now = environment_.loop.now();
     // Held until the call returns: a callback may end the search.
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -125,7 +125,7 @@
                     loop_.clock()),
       segment_demand_(loop_.clock()),
       reachability_(settings_.host.failure_domain, loop_.clock()),
-      liveness_probe_(loop_),
+      liveness_probe_(loop_, servers_),
       share_meter_(loop_.clock()),
       hedging_(settings_.hedging.extra_work_percent / percent, loop_.clock()),
       fleet_shares_(loop_.clock()),
@@ -477,10 +477,12 @@
     const net::message_head& head) {
     const auto request = platform_wire::describe_request(head.headers);
     if (const auto& configuration = fleet_watch_.configuration()) {
-        if (admission_.try_exempt(organisation_of(*configuration, request))) {
+        if (admission_.try_exempt(
+                organisation_of(call_environment_, *configuration, request)
+                    .value_or(""))) {
             return std::nullopt;
         }
-        count_host_refusal(share_meter_, *configuration, request);
+        count_host_refusal(call_environment_, *configuration, request);
     }
     call_report report;
     report.request_id = request.id;
