Reject requests that are not written as RFC 9110 and RFC 9112 say

A caller could hide a request in the body of its own one: a field name with a blank before the colon was read as Transfer-Encoding and forwarded, and a backend server that accepts the blank ran the hidden request in the name of another organisation. Folded lines, CR without LF, other bytes than CRLF after a chunk, several Host fields, "gzip, chunked" and trailer fields that became fields of the request were accepted too.

Cause: http_parser is built without its strict mode and is lenient in all these places; nothing else checked the bytes.

`net::message_syntax` checks the bytes of every head and the framing of chunked bodies before http_parser sees them; the framing fields, the target and Host are checked when the head is complete. An invalid request gets 400 and its connection is closed; an invalid response ends its attempt as broken.

The cases of message_parser_test that expect a complete or an ambiguous request now have a Host field, without which all of them would be rejected for its lack.

--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -173,14 +173,14 @@
 
 void caller_connection::on_request_complete() {
     disarm_timeout();
-    const message_head& head = parser_.head();
+    message_head head = parser_.take_head();
     request_active_ = true;
     keep_alive_ = parser_.keep_alive();
     is_head_request_ = head.method == "HEAD";
     supports_chunked_ = head.supports_chunked;
-    request_.method = head.method;
-    request_.target = head.target;
-    request_.headers = head.headers;
+    request_.method = std::move(head.method);
+    request_.target = std::move(head.target);
+    request_.headers = std::move(head.headers);
     request_.arrived_at = loop_.now();
     hooks_->on_request(shared_from_this(), std::exchange(request_, {}));
 }
--- a/src/net/message_parser.cpp
+++ b/src/net/message_parser.cpp
@@ -5,6 +5,18 @@
 #include "absl/strings/str_cat.h"
 
 namespace bronzehub::net {
+namespace {
+
+// Fields of an ordinary head; the vector of a larger one grows.
+constexpr std::size_t usual_field_count = 16;
+
+void remove_trailing_blanks(std::string& text) {
+    while (text.ends_with(' ') || text.ends_with('\t')) {
+        text.pop_back();
+    }
+}
+
+}  // namespace
 
 // Callbacks of http_parser; the `data` pointer of the library's parser refers
 // to the `message_parser` that they update.
@@ -36,17 +48,24 @@
 
     static int on_field(http_parser* parser, const char* at, std::size_t size) {
         message_parser& parsed = self(parser);
-        if (std::exchange(parsed.last_token_was_value_, false)) {
-            parsed.head_.headers.emplace_back();
+        if (!parsed.is_trailer()) {
+            if (std::exchange(parsed.last_token_was_value_, false)) {
+                if (parsed.head_.headers.empty()) {
+                    parsed.head_.headers.reserve(usual_field_count);
+                }
+                parsed.head_.headers.emplace_back();
+            }
+            parsed.head_.headers.back().name.append(at, size);
         }
-        parsed.head_.headers.back().name.append(at, size);
         return add_head_bytes(parsed, size);
     }
 
     static int on_value(http_parser* parser, const char* at, std::size_t size) {
         message_parser& parsed = self(parser);
-        parsed.last_token_was_value_ = true;
-        parsed.head_.headers.back().value.append(at, size);
+        if (!parsed.is_trailer()) {
+            parsed.last_token_was_value_ = true;
+            parsed.head_.headers.back().value.append(at, size);
+        }
         return add_head_bytes(parsed, size);
     }
 
@@ -56,19 +75,28 @@
             parser->method == HTTP_CONNECT) {
             return -1;  // Tunnels are not supported.
         }
-        parsed.state_ = message_parser::state::in_body;
         parsed.head_.status = static_cast<int>(parser->status_code);
+        parsed.head_.supports_chunked =
+            parser->http_major == 1 && parser->http_minor >= 1;
         if (parsed.kind_ == message_kind::request) {
             parsed.head_.method =
                 http_method_str(static_cast<http_method>(parser->method));
+        }
+        if (const absl::Status status = parsed.check_head(); !status.ok()) {
+            parsed.fail({status.message().data(), status.message().size()});
+            return -1;
+        }
+        parsed.state_ = message_parser::state::in_body;
+        if ((parser->flags & F_CHUNKED) != 0) {
+            parsed.syntax_.begin_chunked_body();
+        }
+        if (parsed.kind_ == message_kind::request) {
             const auto expect =
                 base::find_header(parsed.head_.headers, "Expect");
             parsed.head_.expects_continue =
                 expect && base::equal_header_names(*expect, "100-continue");
         }
         parsed.head_.keep_alive = http_should_keep_alive(parser) != 0;
-        parsed.head_.supports_chunked =
-            parser->http_major == 1 && parser->http_minor >= 1;
         if (parsed.has_body() && (parser->flags & F_CONTENTLENGTH) != 0) {
             parsed.head_.content_length = parser->content_length;
         }
@@ -108,7 +136,10 @@
 
 message_parser::message_parser(message_kind kind, std::size_t max_head_bytes,
                                parser_hooks hooks)
-    : kind_(kind), max_head_bytes_(max_head_bytes), hooks_(std::move(hooks)) {
+    : kind_(kind),
+      max_head_bytes_(max_head_bytes),
+      hooks_(std::move(hooks)),
+      syntax_(kind) {
     next();
 }
 
@@ -116,6 +147,7 @@
     http_parser_init(&parser_, kind_ == message_kind::request ? HTTP_REQUEST
                                                               : HTTP_RESPONSE);
     parser_.data = this;
+    syntax_ = message_syntax(kind_);
     head_ = {};
     last_token_was_value_ = true;
     head_bytes_ = 0;
@@ -126,16 +158,52 @@
 }
 
 std::size_t message_parser::feed(std::string_view bytes) {
-    if (bytes.empty() || state_ == state::complete || state_ == state::failed ||
-        state_ == state::head_too_large) {
-        return 0;
+    std::size_t consumed = 0;
+    while (consumed < bytes.size() && !has_ended()) {
+        const std::string_view rest = bytes.substr(consumed);
+        // After the end of the head, the syntax check is complete unless the
+        // body is chunked.
+        const bool is_checked = !syntax_.is_complete();
+        const std::size_t size = is_checked ? syntax_.check(rest) : rest.size();
+        const std::size_t used = size > 0 ? execute(rest.substr(0, size)) : 0;
+        consumed += used;
+        if (is_checked && !has_ended() && !syntax_.error().empty()) {
+            fail(syntax_.error());
+        }
     }
+    return consumed;
+}
+
+std::size_t message_parser::execute(std::string_view bytes) {
     const std::size_t consumed = http_parser_execute(
         &parser_, &parser_callbacks::settings(), bytes.data(), bytes.size());
     check_parse_result(consumed, bytes.size());
     return consumed;
 }
 
+void message_parser::fail(std::string_view error) {
+    state_ = state::failed;
+    error_ = error;
+}
+
+absl::Status message_parser::check_head() {
+    for (auto& [name, value] : head_.headers) {
+        // A response may have blanks before the colon, which are to be removed,
+        // and http_parser keeps the blanks after values.
+        remove_trailing_blanks(name);
+        remove_trailing_blanks(value);
+    }
+    const framing_fields recognised{
+        .length = (parser_.flags & F_CONTENTLENGTH) != 0,
+        .chunked = (parser_.flags & F_CHUNKED) != 0};
+    if (absl::Status status = check_framing_fields(head_, recognised);
+        !status.ok()) {
+        return status;
+    }
+    return kind_ == message_kind::request ? check_request_target(head_)
+                                          : absl::OkStatus();
+}
+
 // Whether the kind, status and request method allow the message a body.
 bool message_parser::has_body() const {
     constexpr int first_final_status = 200;
@@ -156,16 +224,14 @@
 
 void message_parser::check_parse_result(std::size_t consumed,
                                         std::size_t given) {
-    if (state_ == state::complete || state_ == state::head_too_large) {
+    if (has_ended()) {
         return;
     }
     const http_errno error = HTTP_PARSER_ERRNO(&parser_);
     if (error != HPE_OK) {
-        state_ = state::failed;
-        error_ = http_errno_description(error);
+        fail(http_errno_description(error));
     } else if (consumed != given) {
-        state_ = state::failed;
-        error_ = "parser stopped before the end of the input";
+        fail("parser stopped before the end of the input");
     }
 }
 
--- a/src/net/message_parser.hpp
+++ b/src/net/message_parser.hpp
@@ -4,42 +4,26 @@
 // RESTinio and libcurl buffer and frame messages themselves. An entry daemon
 // relays events as they arrive, on one thread and a fraction of a core, and
 // must know where each message ends. docs/platform.md has the measurements.
+//
+// `message_syntax` checks all bytes first, because http_parser is lenient.
+// Trailer fields of a chunked body are checked and dropped: they must not be
+// taken for fields of the head.
 #ifndef BRONZEHUB_NET_MESSAGE_PARSER_HPP
 #define BRONZEHUB_NET_MESSAGE_PARSER_HPP
 
 #include <http_parser.h>
 
 #include <cstddef>
-#include <cstdint>
 #include <functional>
-#include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
-#include "base/http_header.hpp"
+#include "net/message_head.hpp"
+#include "net/message_syntax.hpp"
 
 namespace bronzehub::net {
 
-// The request line or status line of a message and its header fields.
-struct message_head {
-    // Set for requests only.
-    std::string method;
-    std::string target;
-    // Set for responses only.
-    int status = 0;
-    base::http_headers headers;
-    // Whether the head lets the connection stay open after the message.
-    bool keep_alive = false;
-    // Content-Length of the body that follows; empty without one or without a
-    // body.
-    std::optional<std::uint64_t> content_length;
-    // The request has "Expect: 100-continue": the caller waits for an interim
-    // response before it sends the body.
-    bool expects_continue = false;
-    // The sender supports chunked transfer coding: HTTP/1.1 or later.
-    bool supports_chunked = false;
-};
-
 // Callbacks of a `message_parser`.
 struct parser_hooks {
     // Called once for each message, when its head is complete.
@@ -48,8 +32,6 @@
     std::function<void(std::string_view)> on_body;
 };
 
-enum class message_kind { request, response };
-
 // Parses the messages of one connection one after another. Not thread-safe.
 class message_parser {
 public:
@@ -86,6 +68,8 @@
     // Why the state is `failed` or `head_too_large`.
     std::string_view error() const { return error_; }
     const message_head& head() const { return head_; }
+    // Hands over the head of the complete message.
+    message_head take_head() { return std::exchange(head_, {}); }
 
     // Prepares for the next message. With `response_to_head`, that message is
     // the response to a HEAD request and has no body.
@@ -98,12 +82,24 @@
     friend struct parser_callbacks;
 
     bool has_body() const;
+    bool is_trailer() const { return state_ == state::in_body; }
+    // Whether no more bytes of this message are accepted.
+    bool has_ended() const {
+        return state_ == state::complete || state_ == state::failed ||
+               state_ == state::head_too_large;
+    }
+    // Passes bytes that are valid by themselves to http_parser.
+    std::size_t execute(std::string_view bytes);
     void check_parse_result(std::size_t consumed, std::size_t given);
+    // Checks what the fields of the complete head mean together.
+    absl::Status check_head();
+    void fail(std::string_view error);
 
     message_kind kind_;
     std::size_t max_head_bytes_;
     parser_hooks hooks_;
     http_parser parser_{};
+    message_syntax syntax_;
     message_head head_;
     bool last_token_was_value_ = true;
     std::size_t head_bytes_ = 0;
--- a/src/net/message_parser_test.cpp
+++ b/src/net/message_parser_test.cpp
@@ -27,8 +27,9 @@
     const auto [bytes, body, unconsumed] =
         GENERATE(table<std::string, std::string, std::size_t>({
             {"GET / HTTP/1.1\r\nHost: h\r\n\r\nGET", "", 3},
-            {"POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nabrest", "ab", 4},
-            {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nabrest",
+             "ab", 4},
+            {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
              "2\r\nab\r\n1\r\nc\r\n0\r\n\r\nXY",
              "abc", 2},
         }));
@@ -43,11 +44,13 @@
 // NOLINTBEGIN(bugprone-suspicious-missing-comma): literals are joined.
 TEST_CASE("ambiguous or malformed requests are refused") {
     const auto bytes = GENERATE(values<std::string>({
-        "POST / HTTP/1.1\r\nContent-Length: 4\r\n"
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
         "Transfer-Encoding: chunked\r\n\r\n",
-        "POST / HTTP/1.1\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n",
-        "POST / HTTP/1.1\r\nContent-Length: -4\r\n\r\n",
-        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked, gzip\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+        "Content-Length: 5\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -4\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: h\r\n"
+        "Transfer-Encoding: chunked, gzip\r\n\r\n",
         "CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n",
         "nonsense\r\n\r\n",
     }));
