Hide the backend servers of evacuated failure domains

All paths that send a request look its server up in backend_directory right before. Servers of evacuated domains are now left out there, so that no path has to check for itself. Nothing sets such domains yet.

--- a/src/fleet_state/backend_servers.cpp
+++ b/src/fleet_state/backend_servers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace bronzehub::fleet_state {
 
@@ -125,11 +126,33 @@
     });
 }
 
+void backend_directory::set_evacuated_domains(
+    std::set<std::string, std::less<>> domains) {
+    if (domains != evacuated_domains_) {
+        evacuated_domains_ = std::move(domains);
+        ++generation_;
+    }
+}
+
+bool backend_directory::has_evacuated(std::string_view service) const {
+    return !evacuated_domains_.empty() &&
+           std::ranges::any_of(servers_, [&](const auto& entry) {
+               const backend_server& server = entry.second;
+               return server.service == service &&
+                      server.state == backend_state::available &&
+                      !is_available(server);
+           });
+}
+
+bool backend_directory::is_available(const backend_server& server) const {
+    return server.state == backend_state::available &&
+           !evacuated_domains_.contains(server.failure_domain);
+}
+
 const backend_server* backend_directory::find_available(
     std::string_view id) const {
     const auto found = servers_.find(id);
-    return found == servers_.end() ||
-                   found->second.state != backend_state::available
+    return found == servers_.end() || !is_available(found->second)
                ? nullptr
                : &found->second;
 }
@@ -138,8 +161,7 @@
     std::string_view service) const {
     std::vector<const backend_server*> result;
     for (const auto& [id, server] : servers_) {
-        if (server.service == service &&
-            server.state == backend_state::available) {
+        if (server.service == service && is_available(server)) {
             result.push_back(&server);
         }
     }
--- a/src/fleet_state/backend_servers.hpp
+++ b/src/fleet_state/backend_servers.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -88,7 +89,17 @@
     // that is available.
     bool mark_leaving(std::string_view id, std::uint64_t started_at_ms);
 
-    // Returns nullptr for a server that is unknown, draining or removed.
+    // Sets the failure domains whose servers are not available, whatever the
+    // listings say. Each request looks up its server here right before it is
+    // sent, so that none of them is sent to these domains from then on.
+    void set_evacuated_domains(std::set<std::string, std::less<>> domains);
+
+    // Whether a server of the service is unavailable only because its failure
+    // domain is evacuated.
+    bool has_evacuated(std::string_view service) const;
+
+    // Returns nullptr for a server that is unknown, draining, removed or in an
+    // evacuated failure domain.
     const backend_server* find_available(std::string_view id) const;
 
     // The available servers of a service, ordered by id.
@@ -99,7 +110,8 @@
         return servers_;
     }
 
-    // Increases whenever a server is added, removed or changed.
+    // Increases whenever a server is added, removed or changed, or becomes
+    // available or unavailable.
     std::uint64_t generation() const { return generation_; }
 
     // True after the first listing.
@@ -114,6 +126,7 @@
         base::time_point last_seen_at;
     };
 
+    bool is_available(const backend_server& server) const;
     // Whether the instance or a later one of the same id announced its stop.
     bool is_leaving(const backend_server& server) const;
     void prune_leaving_instances();
@@ -121,6 +134,7 @@
     directory_options options_;
     base::clock clock_;
     std::map<std::string, backend_server, std::less<>> servers_;
+    std::set<std::string, std::less<>> evacuated_domains_;
     // By server id.
     std::map<std::string, leaving_instance, std::less<>> leaving_instances_;
     // Server id to the start time of its excluded instance.
--- a/src/fleet_state/backend_servers_test.cpp
+++ b/src/fleet_state/backend_servers_test.cpp
@@ -39,6 +39,29 @@
     CHECK(tested.find_available("b") == nullptr);
 }
 
+// Guards against requests to an evacuated domain, also to a server that is
+// listed there only later, and against a cached list of servers.
+TEST_CASE("a server in an evacuated domain gets no work") {
+    paused_clock time;
+    backend_directory tested({}, time.view());
+    auto near = make_server("a");
+    near.failure_domain = "near";
+    auto far = make_server("b");
+    far.failure_domain = "far";
+    tested.on_listing({far}, time.now());
+    CHECK_FALSE(tested.has_evacuated("s"));
+    const auto generation = tested.generation();
+    tested.set_evacuated_domains({"near"});
+    CHECK(tested.generation() > generation);
+    tested.on_listing({near, far}, time.now());
+    CHECK(tested.has_evacuated("s"));
+    CHECK(tested.find_available("a") == nullptr);
+    CHECK(tested.available("s").size() == 1);
+    CHECK(tested.all().size() == 2);
+    tested.set_evacuated_domains({});
+    CHECK(tested.find_available("a") != nullptr);
+}
+
 // Guards against an empty directory after an outage of the store, during which
 // live servers could not renew their registrations.
 TEST_CASE("after an outage, unlisted servers are kept for the grace period") {
