Send nothing to evacuated failure domains

Callers of other domains got broken answers, and servers that were being taken apart got requests: no host read the operators' request to evacuate a domain.

The reader of each failure domain takes the requests from the table that it watches anyway, tells its domain with the knowledge message and, three times after a change, all hosts of other domains, which the store may be turning away. A host is ready only when it knows the set. Requests that wait for an engine of the domain are withdrawn and search elsewhere, with the deadlines that they had. The table is read in pages, as the configuration may fill one.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -83,7 +83,7 @@
     description_ = platform_wire::describe_request(request_.headers);
     report_.request_id = description_.id;
     configuration_ = environment_.fleet.configuration();
-    if (!configuration_ || !environment_.servers.has_listing()) {
+    if (!environment_.fleet.is_ready()) {
         refuse("no configuration yet", configuration_retry_after);
         return;
     }
--- a/src/entry/call_placement.cpp
+++ b/src/entry/call_placement.cpp
@@ -99,8 +99,13 @@
         [this](const auto* server) {
             return environment_.status.is_paused(server->id);
         });
-    refuse(any_paused ? "backend servers paused" : "no backend server",
-           time_to_next_server());
+    std::string_view cause = "no backend server";
+    if (any_paused) {
+        cause = "backend servers paused";
+    } else if (environment_.servers.has_evacuated(service_->name)) {
+        cause = "failure domain evacuated";
+    }
+    refuse(cause, time_to_next_server());
 }
 
 base::duration call::time_to_next_server() const {
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -35,9 +35,10 @@
 constexpr milliseconds summary_interval{10000};
 // Shares of organisations are evaluated once a second.
 constexpr milliseconds refusal_log_interval{1000};
-// Subtracted from the revocation bound, because the store may delay the
-// notification of a change and the request itself takes time to arrive.
-constexpr milliseconds revocation_margin{1500};
+// Subtracted from the bounds of revocations and evacuations, because the store
+// may delay the notification of a change and the request itself takes time to
+// arrive.
+constexpr milliseconds notification_margin{1500};
 
 constexpr double percent = 100;
 
@@ -67,8 +68,13 @@
 
 // Age of the data from the store from which acting on it would exceed a bound.
 base::duration max_data_age(const entry_bound_settings& bounds) {
+    const base::duration evacuation =
+        bounds.evacuation_ms > 0
+            ? from_ms(bounds.evacuation_ms) - notification_margin
+            : base::duration::max();
     return std::min({from_ms(bounds.drain_ms), from_ms(bounds.configuration_ms),
-                     from_ms(bounds.revocation_ms) - revocation_margin});
+                     from_ms(bounds.revocation_ms) - notification_margin,
+                     evacuation});
 }
 
 bool parse_udp_endpoint(const std::string& text, udp::endpoint& result) {
@@ -157,7 +163,12 @@
               send_datagram(address, bytes);
           },
           incarnation_, log_,
-          [this](std::string_view id) { backend_status_.remove(id); }),
+          [this](std::string_view id) { backend_status_.remove(id); },
+          [this](const evacuation::domain_set& domains) {
+              const std::size_t moved = schedule_.withdraw_waiting(domains);
+              evacuation_moves_ += moved;
+              return moved;
+          }),
       quarantine_store_(loop_, settings_.store.address, settings_.host.name,
                         log_),
       quarantine_(hosts_, loop_.clock(), incarnation_, make_quarantine_hooks()),
@@ -176,7 +187,7 @@
           completion_estimate_,
           call_reporter_,
           settings_.host.failure_domain,
-          from_ms(settings_.bounds.revocation_ms) - revocation_margin,
+          from_ms(settings_.bounds.revocation_ms) - notification_margin,
           [this] {
               return draining_ &&
                      loop_.now() - drain_started_at_ > serve_after_stop;
@@ -334,7 +345,7 @@
     settings_.hedging = loaded->hedging;
     hedging_.set_extra_work(settings_.hedging.extra_work_percent / percent);
     call_environment_.max_key_age =
-        from_ms(settings_.bounds.revocation_ms) - revocation_margin;
+        from_ms(settings_.bounds.revocation_ms) - notification_margin;
     call_environment_.max_delivery_delay =
         from_ms(settings_.bounds.delivery_ms);
     log_.info("settings reloaded", {field("needs_restart", needs_restart)});
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -142,6 +142,9 @@
     bool was_ready_ = false;
     base::time_point drain_started_at_{};
     std::uint64_t datagram_send_failures_ = 0;
+    // Requests that waited for an engine in a failure domain when the domain
+    // was evacuated.
+    std::uint64_t evacuation_moves_ = 0;
     std::uint64_t malformed_datagrams_ = 0;
 };
 
--- a/src/entry/entry_node_reports.cpp
+++ b/src/entry/entry_node_reports.cpp
@@ -98,6 +98,13 @@
     set("bronzehub_entry_store_segment_calls",
         "Calls to the store for quarantined prompt segments.",
         static_cast<double>(quarantine_store_.calls()));
+    set("bronzehub_entry_evacuated_domains",
+        "Failure domains to which no requests are sent.",
+        static_cast<double>(fleet_watch_.evacuated_domains().domains().size()));
+    set("bronzehub_entry_evacuation_moves",
+        "Requests that waited for an engine whose failure domain was "
+        "evacuated.",
+        static_cast<double>(evacuation_moves_));
     set("bronzehub_entry_malformed_datagrams",
         "Datagrams that could not be decoded as a message of this version.",
         static_cast<double>(malformed_datagrams_));
@@ -126,7 +133,9 @@
         {"calls", calls_.size()},
         {"schedules", schedule.schedulers},
         {"engine_running", schedule.running},
-        {"engine_waiting", schedule.waiting}};
+        {"engine_waiting", schedule.waiting},
+        {"evacuated_domains", fleet_watch_.evacuated_domains().domains()},
+        {"evacuation_version", fleet_watch_.evacuated_domains().version()}};
     result["quarantined_segments"] = nlohmann::json::array();
     for (const overload::segment_id id : quarantine_.quarantined_segments()) {
         result["quarantined_segments"].push_back(encode_segment_key(id));
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -81,6 +81,7 @@
         form.optional("drain_ms", value.drain_ms, time_ms_range);
         form.optional("configuration_ms", value.configuration_ms,
                       time_ms_range);
+        form.optional("evacuation_ms", value.evacuation_ms, time_ms_range);
         form.optional("grace_period_ms", value.grace_period_ms, time_ms_range);
         form.optional("delivery_ms", value.delivery_ms, time_ms_range);
         form.optional("retry_ratio", value.retry_ratio, ratio_range);
--- a/src/entry/entry_settings.hpp
+++ b/src/entry/entry_settings.hpp
@@ -37,6 +37,9 @@
     double drain_ms = 2000;
     // Time after which a new configuration must be in force on every host.
     double configuration_ms = 2000;
+    // Time after the evacuation of a failure domain from which its backend
+    // servers must not get new requests; 0 if there is no such bound.
+    double evacuation_ms = 0;
     // Time between SIGTERM and SIGKILL.
     double grace_period_ms = 8000;
     // Time within which an event of a stream must be forwarded to the caller.
--- a/src/entry/entry_settings_test.cpp
+++ b/src/entry/entry_settings_test.cpp
@@ -22,8 +22,10 @@
 
 TEST_CASE("settings are JSON with comments") {
     const auto parsed = parse_entry_settings(
-        settings(host, R"({"grace_period_ms":8e3,"retry_extra":56.5})"));
+        settings(host, R"({"grace_period_ms":8e3,"retry_extra":56.5,
+                            "evacuation_ms":4000})"));
     REQUIRE(parsed.ok());
+    CHECK(parsed->bounds.evacuation_ms == 4000);
     CHECK(parsed->bounds.grace_period_ms == 8000);
     CHECK(parsed->bounds.retry_extra == 56.5);
     CHECK(parsed->listeners.peers == "10.0.0.1:83");
--- a/src/entry/fleet_watch.cpp
+++ b/src/entry/fleet_watch.cpp
@@ -21,6 +21,9 @@
 // Table of the store in which entry hosts announce themselves.
 constexpr std::string_view host_table = "entry_hosts";
 
+// Source of a change of the evacuated domains that this host read itself.
+constexpr std::string_view from_store = "store";
+
 std::string_view to_string(store_data data) {
     return data == store_data::configuration ? "configuration"
                                              : "backend servers";
@@ -33,7 +36,8 @@
     base::duration max_age, fleet_state::backend_directory& servers,
     host_directory& hosts, datagram_sender send, std::uint64_t incarnation,
     logging::logger& log,
-    std::function<void(std::string_view)> on_server_removed)
+    std::function<void(std::string_view)> on_server_removed,
+    std::function<std::size_t(const evacuation::domain_set&)> on_evacuated)
     : loop_(loop),
       servers_(servers),
       hosts_(hosts),
@@ -45,8 +49,9 @@
       hosts_client_(loop, store_address),
       relay_(hosts, loop.clock(), std::move(send), incarnation,
              make_relay_callbacks()),
-      schedule_(fleet_state::make_read_schedule_options(max_age),
-                loop.clock()) {}
+      schedule_(fleet_state::make_read_schedule_options(max_age), loop.clock()),
+      evacuated_(loop.clock()),
+      on_evacuated_(std::move(on_evacuated)) {}
 
 relay_callbacks fleet_watch::make_relay_callbacks() {
     relay_callbacks result;
@@ -100,6 +105,12 @@
         [this](const fleet_state::backend_server& server) {
             mark_leaving(server, "peer");
         };
+    result.on_evacuated_domains = [this](std::span<const std::string> domains,
+                                         std::uint64_t version) {
+        on_evacuations(
+            evacuated_.on_set({domains.begin(), domains.end()}, version),
+            "peer");
+    };
     return result;
 }
 
@@ -121,7 +132,11 @@
     schedule_.set_rank(hosts_.reader_rank());
     if (outdated_since_) {
         fetch_newer_configuration();
-    } else if (schedule_.is_due(store_data::configuration)) {
+    } else if (schedule_.is_due(store_data::configuration) ||
+               // The host that forwarded the configuration did not tell which
+               // domains are evacuated.
+               (configuration_ && !evacuated_.is_known() &&
+                schedule_.may_read(store_data::configuration))) {
         // Only the reader of the failure domain watches for changes. The others
         // read rarely and therefore read the whole table.
         if (configuration_ && schedule_.rank() == 0 && watched_version_ > 0) {
@@ -182,21 +197,45 @@
         clock_.to_local(read.store_time, loop_.now()).value_or(sent_at));
 }
 
-void fleet_watch::read_configuration() {
+void fleet_watch::read_configuration(const std::string& first_key) {
     schedule_.on_read_started(store_data::configuration);
+    if (first_key.empty()) {
+        operator_rows_ = {};
+    }
     configuration_client_.call(
-        platform_wire::make_read_rows_request(platform_wire::table::operators),
+        platform_wire::make_read_rows_request(platform_wire::table::operators,
+                                              first_key),
         reply_timeout,
         [this](const absl::StatusOr<rows_response>& read,
                base::time_point sent_at) {
             if (finish_read(store_data::configuration, read.status())) {
-                outdated_since_.reset();
-                watched_version_ = read->version;
-                on_configuration_read(*read, sent_at);
+                on_operator_page(*read, sent_at);
             }
         });
 }
 
+void fleet_watch::on_operator_page(const rows_response& page,
+                                   base::time_point sent_at) {
+    if (operator_rows_.rows.empty()) {
+        // Changes during the read of further pages are watched for.
+        operator_rows_.version = page.version;
+        operator_rows_.store_time = page.store_time;
+        operator_read_at_ = sent_at;
+    }
+    operator_rows_.rows.insert(operator_rows_.rows.end(), page.rows.begin(),
+                               page.rows.end());
+    if (page.has_more && !page.rows.empty()) {
+        // The next page starts at the smallest key after the last one read.
+        read_configuration(page.rows.back().key + '\0');
+        return;
+    }
+    const rows_response read = std::exchange(operator_rows_, {});
+    outdated_since_.reset();
+    watched_version_ = read.version;
+    apply_evacuations(read, std::nullopt);
+    on_configuration_read(read, operator_read_at_);
+}
+
 void fleet_watch::watch_configuration() {
     schedule_.on_read_started(store_data::configuration);
     const auto wait = std::chrono::duration_cast<milliseconds>(
@@ -211,11 +250,57 @@
                 watched_version_ = 0;
                 return;
             }
+            apply_evacuations(*read, watched_version_);
             watched_version_ = std::max(watched_version_, read->version);
             on_configuration_read(*read, sent_at);
         });
 }
 
+void fleet_watch::apply_evacuations(const rows_response& read,
+                                    std::optional<std::uint64_t> base_version) {
+    std::vector<evacuation::domain_change> changes;
+    evacuation::domain_set domains;
+    for (const stored_row& row : read.rows) {
+        if (const auto domain =
+                platform_wire::decode_evacuated_domain(row.key)) {
+            changes.push_back(
+                {std::string(*domain), row.version, !row.deleted});
+            domains.emplace(*domain);
+        }
+    }
+    on_evacuations(
+        base_version
+            ? evacuated_.on_changes(*base_version, changes, read.version)
+            : evacuated_.on_set(std::move(domains), read.version),
+        from_store);
+}
+
+void fleet_watch::on_evacuations(const evacuation::set_change& change,
+                                 std::string_view source) {
+    const evacuation::domain_set& domains = evacuated_.domains();
+    relay_.set_evacuated_domains({domains.begin(), domains.end()},
+                                 evacuated_.version());
+    if (change.is_empty()) {
+        return;
+    }
+    servers_.set_evacuated_domains(domains);
+    const std::size_t moved = change.added.empty() ? 0 : on_evacuated_(domains);
+    for (const std::string& domain : change.added) {
+        log_.info("failure domain evacuated",
+                  {field("failure_domain", domain), field("source", source),
+                   field("store_version", evacuated_.version()),
+                   field("moved", moved)});
+    }
+    for (const std::string& domain : change.removed) {
+        log_.info("failure domain taken back",
+                  {field("failure_domain", domain), field("source", source),
+                   field("store_version", evacuated_.version())});
+    }
+    if (source == from_store) {
+        evacuation_sends_left_ = evacuation_sends;
+    }
+}
+
 void fleet_watch::on_configuration_read(const rows_response& read,
                                         base::time_point sent_at) {
     // A watch returns each change since the last one, oldest first.
@@ -232,6 +317,10 @@
     schedule_.on_confirmed(store_data::configuration, confirmed_at);
     configuration_confirmed_at_ =
         std::max(configuration_confirmed_at_, confirmed_at);
+    if (evacuation_sends_left_ > 0) {
+        --evacuation_sends_left_;
+        relay_.send_evacuated_domains();
+    }
     relay_.on_configuration_read(configuration_ ? configuration_->version() : 0,
                                  configuration_text_, read.store_time);
     if (!configuration_) {
--- a/src/entry/fleet_watch.hpp
+++ b/src/entry/fleet_watch.hpp
@@ -1,6 +1,7 @@
 // Keeps a current copy of the platform's store: the configuration, the listing
-// of backend servers and the other entry hosts. For the configuration and the
-// listing it keeps the time at which they were last confirmed to be the newest.
+// of backend servers, the evacuated failure domains and the other entry hosts.
+// For the configuration and the listing it keeps the time at which they were
+// last confirmed to be the newest.
 //
 // One host of each failure domain reads the store and sends the results to the
 // others. `fleet_state::read_schedule` decides whether this host reads, and
@@ -18,6 +19,7 @@
 #include "entry/host_directory.hpp"
 #include "entry/knowledge_relay.hpp"
 #include "entry/store_client.hpp"
+#include "evacuation/evacuated_domains.hpp"
 #include "fleet_state/backend_servers.hpp"
 #include "fleet_state/configuration.hpp"
 #include "fleet_state/read_schedule.hpp"
@@ -52,17 +54,25 @@
     // up to the maximum.
     static constexpr std::chrono::milliseconds first_announce_retry{1000};
     static constexpr std::chrono::milliseconds max_announce_retry{8000};
+    // Times that the evacuated failure domains are sent to the hosts of other
+    // failure domains after a change: datagrams may be lost, and those hosts
+    // may hear nothing else while the store turns them away.
+    static constexpr int evacuation_sends = 3;
     // Unusable registrations that are logged; more are only counted.
     static constexpr std::size_t max_logged_registrations = 64;
 
     // `on_server_removed` is called with the id of each backend server whose
     // instance is no longer listed.
     // `max_age` is the age at which store data must not be acted on any more.
-    fleet_watch(net::event_loop& loop, const std::string& store_address,
-                base::duration max_age, fleet_state::backend_directory& servers,
-                host_directory& hosts, datagram_sender send,
-                std::uint64_t incarnation, logging::logger& log,
-                std::function<void(std::string_view)> on_server_removed);
+    // `on_evacuated` is called with the evacuated failure domains when there is
+    // a new one, and returns the number of waiting requests that it moved.
+    fleet_watch(
+        net::event_loop& loop, const std::string& store_address,
+        base::duration max_age, fleet_state::backend_directory& servers,
+        host_directory& hosts, datagram_sender send, std::uint64_t incarnation,
+        logging::logger& log,
+        std::function<void(std::string_view)> on_server_removed,
+        std::function<std::size_t(const evacuation::domain_set&)> on_evacuated);
 
     // Starts announcing this host and reading the store.
     void start();
@@ -86,8 +96,15 @@
     base::time_point configuration_confirmed_at() const {
         return configuration_confirmed_at_;
     }
-    // Whether a configuration and a listing of backend servers are known.
-    bool is_ready() const { return configuration_ && servers_.has_listing(); }
+    // Whether a configuration, a listing of backend servers and the evacuated
+    // failure domains are known.
+    bool is_ready() const {
+        return configuration_ && servers_.has_listing() &&
+               evacuated_.is_known();
+    }
+    const evacuation::evacuated_domains& evacuated_domains() const {
+        return evacuated_;
+    }
 
     struct statistics {
         // Calls to the store by kind, and those of them that failed.
@@ -106,10 +123,20 @@
     void fetch_newer_configuration();
     // Records the result of a read; returns whether it succeeded.
     bool finish_read(fleet_state::store_data data, const absl::Status& status);
-    void read_configuration();
+    // Reads the operators' table, beginning with this key.
+    void read_configuration(const std::string& first_key = "");
+    void on_operator_page(const platform_wire::rows_response& page,
+                          base::time_point sent_at);
     void watch_configuration();
     void on_configuration_read(const platform_wire::rows_response& read,
                                base::time_point sent_at);
+    // Takes the evacuated failure domains from the rows of the operators'
+    // table: from all of them, or from those that changed after `base_version`.
+    void apply_evacuations(const platform_wire::rows_response& read,
+                           std::optional<std::uint64_t> base_version);
+    // Puts the evacuated failure domains into force.
+    void on_evacuations(const evacuation::set_change& change,
+                        std::string_view source);
     // Returns whether the text is a configuration newer than the known one.
     bool apply_configuration(const std::string& text);
     void read_servers(const std::string& first_key);
@@ -153,6 +180,11 @@
     fleet_state::read_schedule schedule_;
     base::time_point started_at_{};
 
+    evacuation::evacuated_domains evacuated_;
+    std::function<std::size_t(const evacuation::domain_set&)> on_evacuated_;
+    // How often the evacuated domains are still to be sent to other domains.
+    int evacuation_sends_left_ = 0;
+
     fleet_state::configuration_pointer configuration_;
     base::time_point configuration_confirmed_at_{};
     // Version of the table up to which changes are known; 0 if the table has to
@@ -163,6 +195,10 @@
     // When another host first told of a newer configuration.
     std::optional<base::time_point> outdated_since_;
 
+    // The operators' table as far as it has been read, and when the read of its
+    // first page was sent.
+    platform_wire::rows_response operator_rows_;
+    base::time_point operator_read_at_{};
     // Servers from the pages of the listing that is being read.
     std::vector<fleet_state::backend_server> listed_servers_;
     // Hosts from the pages of the table of hosts that is being read.
--- a/src/entry/knowledge_relay.cpp
+++ b/src/entry/knowledge_relay.cpp
@@ -236,6 +236,35 @@
     send_knowledge();
 }
 
+void knowledge_relay::set_evacuated_domains(std::vector<std::string> domains,
+                                            std::uint64_t version) {
+    known_.evacuated_domains = std::move(domains);
+    known_.evacuation_version = version;
+}
+
+void knowledge_relay::send_evacuated_domains() {
+    host_message message = make_message(message_type::evacuated_domains);
+    auto& content = message.knowledge.emplace_back();
+    content.evacuated_domains = known_.evacuated_domains;
+    content.evacuation_version = known_.evacuation_version;
+    const std::string bytes = encode_message(message);
+    std::ranges::for_each(hosts_.peers(), [&](const entry_host& host) {
+        if (host.failure_domain != hosts_.self().failure_domain) {
+            send_(host.address, bytes);
+        }
+    });
+}
+
+void knowledge_relay::on_evacuated_domains(const host_message& message) {
+    // A host of an older release does not send the version.
+    if (!message.knowledge.empty() &&
+        message.knowledge.front().evacuation_version > 0) {
+        const knowledge_message& content = message.knowledge.front();
+        callbacks_.on_evacuated_domains(content.evacuated_domains,
+                                        content.evacuation_version);
+    }
+}
+
 void knowledge_relay::send_knowledge() {
     host_message message = make_message(message_type::knowledge);
     message.knowledge.push_back(known_);
@@ -310,6 +339,9 @@
                         host.row_version);
                 });
             break;
+        case message_type::evacuated_domains:
+            on_evacuated_domains(message);
+            break;
         case message_type::hello:
             on_hello(from, message);
             break;
@@ -342,6 +374,8 @@
     }
     const knowledge_message& knowledge = message.knowledge.front();
     hosts_.on_forwarded(message.host);
+    // Before the configuration, with which this host may begin to serve.
+    on_evacuated_domains(message);
     if (knowledge.configuration_store_ms > 0) {
         if (knowledge.configuration_version > known_.configuration_version) {
             configuration_source_ = from;
--- a/src/entry/knowledge_relay.hpp
+++ b/src/entry/knowledge_relay.hpp
@@ -46,6 +46,10 @@
         on_listing;
     // This backend server announced that it is about to stop.
     std::function<void(const fleet_state::backend_server&)> on_server_leaving;
+    // These failure domains were evacuated in this version of the store.
+    std::function<void(std::span<const std::string> domains,
+                       std::uint64_t version)>
+        on_evacuated_domains;
 };
 
 // Not thread-safe.
@@ -74,6 +78,13 @@
     void set_listing(std::span<const fleet_state::backend_server> servers,
                      std::chrono::milliseconds store_time);
 
+    // Sets the evacuated failure domains that this host knows without sending
+    // anything; `on_configuration_read` sends them to the failure domain.
+    void set_evacuated_domains(std::vector<std::string> domains,
+                               std::uint64_t version);
+    // Sends them to the hosts of all other failure domains.
+    void send_evacuated_domains();
+
     // Requests the configuration from the host that last told of a newer one,
     // unless it was requested a moment ago.
     void request_configuration();
@@ -99,6 +110,7 @@
 private:
     void send_knowledge();
     void on_knowledge(const std::string& from, const host_message& message);
+    void on_evacuated_domains(const host_message& message);
     void on_hello(const std::string& from, const host_message& message);
     void on_listing_part(const listing_message& part);
     void on_configuration_part(const configuration_message& part);
--- a/src/entry/knowledge_relay_test.cpp
+++ b/src/entry/knowledge_relay_test.cpp
@@ -58,6 +58,12 @@
                    },
                    [this](const backend_server& server) {
                        leaving.push_back(server.id);
+                   },
+                   [this](std::span<const std::string> domains,
+                          std::uint64_t received) {
+                       evacuated.assign(domains.begin(), domains.end());
+                       evacuation_version = received;
+                       version_at_evacuation = version;
                    }}) {}
         std::uint64_t version = 0;
         milliseconds version_at{};
@@ -65,6 +71,9 @@
         bool accepts_configuration = true;
         bool accepts_listing = true;
         std::vector<std::string> leaving;
+        std::vector<std::string> evacuated;
+        std::uint64_t evacuation_version = 0;
+        std::uint64_t version_at_evacuation = 0;
         milliseconds confirmed_at{};
         std::vector<backend_server> listing;
         milliseconds listing_at{};
@@ -244,6 +253,40 @@
     CHECK(hosts.reader.leaving.empty());
 }
 
+// Guards against a peer that serves with the configuration before it knows the
+// evacuated domains, and against one that takes "not known" for "none".
+TEST_CASE("peers learn the evacuated domains before the configuration") {
+    two_hosts hosts;
+    hosts.peer.evacuation_version = 1;
+    hosts.reader.relay.on_configuration_read(0, "", 5000ms);
+    hosts.deliver();
+    CHECK(hosts.peer.evacuation_version == 1);
+    hosts.peer.version_at_evacuation = 1;
+    hosts.reader.relay.set_evacuated_domains({"b", "c"}, 40);
+    hosts.reader.relay.on_configuration_read(0, "", 5000ms);
+    hosts.reader.relay.on_configuration_read(6, "", 5000ms);
+    hosts.sent.pop_front();
+    hosts.deliver();
+    CHECK(hosts.peer.evacuated == std::vector<std::string>{"b", "c"});
+    CHECK(hosts.peer.evacuation_version == 40);
+    CHECK(hosts.peer.version_at_evacuation == 0);
+    CHECK(hosts.peer.version == 6);
+}
+
+// Guards against hosts that go on sending to an evacuated domain because no
+// host of their own domain reaches the store, and against needless datagrams.
+TEST_CASE("the evacuated domains are sent to the other failure domains") {
+    two_hosts hosts;
+    hosts.reader.directory.on_hello({"f", "f:1", "b"});
+    hosts.reader.relay.set_evacuated_domains({"a"}, 40);
+    hosts.reader.relay.send_evacuated_domains();
+    REQUIRE(hosts.sent.size() == 1);
+    CHECK(hosts.sent.front().to == "f:1");
+    hosts.deliver();
+    CHECK(hosts.peer.evacuated == std::vector<std::string>{"a"});
+    CHECK(hosts.peer.version == 0);
+}
+
 // Guards against a fleet in which hosts that missed a datagram at the start of
 // another one never learn of it, as only the reader reads the table of hosts.
 TEST_CASE("peers learn the announced hosts from the reader") {
--- a/src/entry/schedule_link.cpp
+++ b/src/entry/schedule_link.cpp
@@ -266,6 +266,32 @@
     send_message(entry.owner.address, std::move(message));
 }
 
+std::size_t schedule_link::withdraw_waiting(
+    const std::set<std::string, std::less<>>& failure_domains) {
+    std::vector<std::uint64_t> waiting;
+    for (const auto& [number, entry] : open_requests_) {
+        if (!entry.granted &&
+            failure_domains.contains(entry.request.failure_domain)) {
+            waiting.push_back(number);
+        }
+    }
+    std::ranges::sort(waiting);
+    std::ranges::for_each(waiting, [this](std::uint64_t number) {
+        const auto found = open_requests_.find(number);
+        if (found == open_requests_.end() || found->second.granted) {
+            return;  // The response to another one led to this.
+        }
+        const auto on_response = std::move(found->second.on_response);
+        slot_response response;
+        response.number = number;
+        response.unreachable = true;
+        response.owner = found->second.owner.name;
+        end_request(number, true);
+        on_response(response);
+    });
+    return waiting.size();
+}
+
 scheduled_request_message schedule_link::encode_request(
     std::uint64_t number, const open_request& entry) const {
     const scheduled_request& request = entry.request.scheduled_request;
--- a/src/entry/schedule_link.hpp
+++ b/src/entry/schedule_link.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -116,6 +117,12 @@
     // accepts connections at the address of the engine.
     void release_unreached(std::uint64_t number);
 
+    // Withdraws the requests of this host that wait for an engine in one of
+    // these failure domains, in the order in which they were made. Each gets a
+    // response that tells that the engine is unreachable. Returns their number.
+    std::size_t withdraw_waiting(
+        const std::set<std::string, std::less<>>& failure_domains);
+
     // Handles messages of the types that this class sends; ignores others.
     void on_message(const std::string& from, const host_message& message);
 
--- a/src/entry/schedule_link_test.cpp
+++ b/src/entry/schedule_link_test.cpp
@@ -189,3 +189,27 @@
         {"", "x", std::string(300, '\xff'), "\x93\x01\x02\x03"}));
     CHECK_FALSE(decode_message(bytes).has_value());
 }
+
+// Guards against requests that wait for an engine of an evacuated domain until
+// they are refused, and against their place in its schedule that blocks others.
+TEST_CASE("requests that wait for engines of a domain are withdrawn in order") {
+    const auto [domain, withdrawn] =
+        GENERATE(table<std::string, std::size_t>({{"b", 2}, {"a", 0}}));
+    pair_of_hosts hosts;
+    const auto running = hosts.request_slot();
+    const auto first = hosts.request_slot();
+    hosts.request_slot();
+    hosts.deliver();
+    CHECK(hosts.one.link.withdraw_waiting({domain}) == withdrawn);
+    REQUIRE(hosts.responses.size() == 1 + withdrawn);
+    if (withdrawn > 0) {
+        CHECK(hosts.responses[1].number == first);
+        CHECK(hosts.responses[1].unreachable);
+        CHECK_FALSE(hosts.responses[2].granted);
+    }
+    hosts.deliver();
+    CHECK(hosts.two.link.read_statistics().waiting == 2 - withdrawn);
+    hosts.one.link.release(running);
+    hosts.deliver();
+    CHECK(hosts.responses.size() == (withdrawn > 0 ? 3 : 2));
+}
--- a/src/entry/schedule_messages.hpp
+++ b/src/entry/schedule_messages.hpp
@@ -62,6 +62,8 @@
     segment_report = 18,
     // The segments that are suspect or quarantined, from the arbiter.
     segment_table = 19,
+    // The evacuated failure domains, for hosts of other failure domains.
+    evacuated_domains = 20,
 };
 
 // The newest versions of the store's contents that a host knows. The `store_ms`
@@ -71,8 +73,13 @@
     std::int64_t configuration_store_ms = 0;
     std::uint64_t listing_hash = 0;
     std::int64_t listing_store_ms = 0;
+    // The evacuated failure domains as of this version of the store; 0 if the
+    // sender does not know them.
+    std::uint64_t evacuation_version = 0;
+    std::vector<std::string> evacuated_domains;
     MSGPACK_DEFINE_ARRAY(configuration_version, configuration_store_ms,
-                         listing_hash, listing_store_ms)
+                         listing_hash, listing_store_ms, evacuation_version,
+                         evacuated_domains)
 };
 
 // One backend server of a listing.
@@ -256,7 +263,8 @@
     // In a `first_event`: whether the event met its latency target.
     bool in_time = true;
     // At most one entry, in a `knowledge` or a `listing` message respectively.
-    // A `server_leaving` message has a listing with that server only.
+    // A `server_leaving` message has a listing with that server only, and an
+    // `evacuated_domains` message a `knowledge_message` with those only.
     std::vector<knowledge_message> knowledge;
     std::vector<listing_message> listing;
     // Failure domain of the sender; read from `hello` and `domain_shares`.
--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -131,7 +131,8 @@
     def __init__(self):
         super().__init__()
         self.rows = {}
-        # All writes: (table, key, value, version).
+        # All writes and deletions: (table, key, value, version); the value of a
+        # deletion is None.
         self.history = []
         self.version = 0
         self.changed = asyncio.Event()
@@ -146,6 +147,15 @@
         self.version += 1
         self.rows[(table, key)] = (value, self.version)
         self.history.append((table, key, value, self.version))
+        self.notify()
+
+    def delete(self, table, key):
+        self.version += 1
+        del self.rows[(table, key)]
+        self.history.append((table, key, None, self.version))
+        self.notify()
+
+    def notify(self):
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
 
@@ -168,13 +178,10 @@
         ]
 
     def encode_row(self, table, key, value, version):
-        return {
-            "table-name": table,
-            "part": "",
-            "key": key,
-            "value": base64.b64encode(value).decode(),
-            "row-version": version,
-        }
+        row = {"table-name": table, "part": "", "key": key, "row-version": version}
+        if value is None:
+            return {**row, "deleted": True}
+        return {**row, "value": base64.b64encode(value).decode()}
 
     async def serve(self, reader, writer):
         while True:
@@ -230,6 +237,24 @@
         return response(200, {"Content-Type": "application/json"}, text)
 
 
+class StoreEndpoint(Listener):
+    """A further address of a store that can turn its callers away."""
+
+    def __init__(self, store):
+        super().__init__()
+        self.store = store
+        self.refuses = False
+
+    async def serve(self, reader, writer):
+        while True:
+            line, _, body = await read_message(reader)
+            if self.refuses:
+                writer.write(response(503))
+            else:
+                writer.write(await self.store.respond(line, body))
+            await writer.drain()
+
+
 # Status of each rejection. In a rejection, a backend server states that it did
 # not execute the request.
 REJECTION_STATUSES = {"shed": 503, "rate_limited": 429, "misdirected": 421}
--- a/tests/fuzz/decoder_fuzz_test.cpp
+++ b/tests/fuzz/decoder_fuzz_test.cpp
@@ -19,6 +19,7 @@
 #include "entry/schedule_link.hpp"
 #include "entry/schedule_messages.hpp"
 #include "entry/share_exchange.hpp"
+#include "evacuation/evacuated_domains.hpp"
 #include "net/message_parser.hpp"
 #include "platform/configuration_codec.hpp"
 #include "platform/message_codec.hpp"
@@ -28,6 +29,7 @@
 
 namespace base = bronzehub::base;
 namespace entry = bronzehub::entry;
+namespace evacuation = bronzehub::evacuation;
 namespace fleet_state = bronzehub::fleet_state;
 namespace net = bronzehub::net;
 namespace overload = bronzehub::overload;
@@ -223,7 +225,14 @@
                   [](std::chrono::milliseconds) {},
                   [](const std::vector<fleet_state::backend_server>&,
                      std::chrono::milliseconds) { return true; },
-                  [](const fleet_state::backend_server&) {}}) {}
+                  [](const fleet_state::backend_server&) {},
+                  [this](std::span<const std::string> domains,
+                         std::uint64_t version) {
+                      evacuated_.on_set({domains.begin(), domains.end()},
+                                        version);
+                      CHECK(evacuated_.domains().size() <=
+                            evacuation::evacuated_domains::max_domains);
+                  }}) {}
 
     void receive(const std::string& bytes) {
         const auto message = entry::decode_message(bytes);
@@ -249,13 +258,14 @@
     overload::share_meter meter_;
     entry::schedule_link schedule_;
     entry::share_exchange exchange_;
+    evacuation::evacuated_domains evacuated_{time_.view()};
     entry::knowledge_relay relay_;
 };
 
 // A message of each type with all its fields set.
 std::vector<std::string> datagrams() {
     std::vector<std::string> result;
-    for (std::uint8_t type = 1; type <= 17; ++type) {
+    for (std::uint8_t type = 1; type <= 20; ++type) {
         entry::host_message message;
         message.type = type;
         message.host = "other";
@@ -273,7 +283,7 @@
         request.start_within_us = 1000;
         request.give_up_within_us = 2000;
         message.work = {request};
-        message.knowledge = {{7, 1000, 5, 1000}};
+        message.knowledge = {{7, 1000, 5, 1000, 6, {"b", "c"}}};
         message.listing = {
             {9, 2000, 0, 1, {{"i-1", "s", "10.0.0.1:80", "a", 4, 1, false}}}};
         message.shares = {{"o", 5, 3}};
