--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -86,6 +86,8 @@
         form.optional("retry_ratio", value.retry_ratio, ratio_range);
         form.optional("retry_extra", value.retry_extra, count_range);
         form.optional("retry_window_ms", value.retry_window_ms, time_ms_range);
+        form.optional("cold_overrun", value.cold_overrun, ratio_range);
+        form.optional("cold_allowance", value.cold_allowance, count_range);
     }
 };
 
--- a/src/entry/entry_settings.hpp
+++ b/src/entry/entry_settings.hpp
@@ -46,6 +46,10 @@
     double retry_ratio = 0.1;
     double retry_extra = 10;
     double retry_window_ms = 10000;
+    // Requests that a cold backend server may get in one second at most: this
+    // ratio of the requests that it tolerates, plus a fixed number.
+    double cold_overrun = 1;
+    double cold_allowance = 0;
 };
 
 struct entry_limit_settings {
--- a/src/fleet_state/backend_servers.hpp
+++ b/src/fleet_state/backend_servers.hpp
@@ -7,8 +7,10 @@
 #ifndef BRONZEHUB_FLEET_STATE_BACKEND_SERVERS_HPP
 #define BRONZEHUB_FLEET_STATE_BACKEND_SERVERS_HPP
 
+#include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,6 +33,9 @@
     // Start time in Unix milliseconds; tells the instances of one id apart.
     std::uint64_t started_at_ms = 0;
     backend_state state = backend_state::available;
+    // How much longer the server is slow after its start, as it last reported;
+    // empty if it did not report that.
+    std::optional<std::chrono::milliseconds> cold_remaining;
 
     friend bool operator==(const backend_server&,
                            const backend_server&) = default;
--- a/src/fleet_state/configuration.hpp
+++ b/src/fleet_state/configuration.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -68,6 +69,14 @@
     std::uint32_t engine_slots = 0;
     // Tokens that fit in the key-value cache of one engine.
     std::uint64_t engine_memory_tokens = 0;
+    // Time for which a server is slow after its start, and the requests per
+    // second that it tolerates meanwhile; zero for no limit.
+    std::chrono::milliseconds cold_time{};
+    double cold_requests_per_s = 0;
+
+    bool has_cold_pace() const {
+        return cold_time.count() > 0 && cold_requests_per_s > 0;
+    }
 };
 
 struct organisation {
@@ -105,6 +114,7 @@
     const caller_limits& limits() const { return content_.limits; }
     bool requires_keys() const { return content_.requires_keys; }
     std::size_t route_count() const { return content_.routes.size(); }
+    std::span<const service> services() const { return content_.services; }
 
     // Returns the route of `host` whose path prefix is the longest that `path`
     // begins with, or nullptr. The port of `host` and the query of `path` are
--- a/src/fleet_state/request_description.hpp
+++ b/src/fleet_state/request_description.hpp
@@ -68,6 +68,8 @@
     // Value of Retry-After: the time for which the backend server asks for no
     // further requests when it rejects one.
     std::optional<std::chrono::milliseconds> retry_after;
+    // How much longer the backend server is slow after its start.
+    std::optional<std::chrono::milliseconds> cold_remaining;
 };
 
 }  // namespace bronzehub::fleet_state
