Limit the requests to engines that have just started

Engines that restart under load have free slots at once and got the requests of all hosts for them. They ended again and came back cold.

A cold engine now has two granters at most, the first two hosts of the rendezvous order over all known hosts of its failure domain, whether they respond or not. The bound is divided between them beforehand. Grants expire, so that requests that were granted at different times are not sent together. A request over the pace is refused at once and its search goes to another engine. An engine counts as cold after it was listed, was silent or refused connections.

--- a/src/entry/backend_connection.cpp
+++ b/src/entry/backend_connection.cpp
@@ -94,11 +94,12 @@
     if (channel_) {
         write_request(bytes);
     } else {
-        connect(std::move(bytes));
+        connect(std::move(bytes), request.send_before);
     }
 }
 
-void backend_connection::connect(std::string bytes) {
+void backend_connection::connect(std::string bytes,
+                                 base::time_point send_before) {
     tcp::endpoint endpoint;
     if (!parse_endpoint(address_, endpoint)) {
         loop_.run_after(base::duration(0), [self = shared_from_this()] {
@@ -120,20 +121,24 @@
     if (!error) {
         set_failure_detection(*socket);
     }
-    socket->async_connect(
-        endpoint, [self = shared_from_this(), socket, timer,
-                   bytes = std::move(bytes)](const asio::error_code& failed) {
-            self->loop_.cancel(timer);
-            if (self->connecting_socket_ != socket) {
-                return;
-            }
-            if (failed) {
-                self->end_exchange(exchange_result::not_sent, failed.message());
-                return;
-            }
-            self->connecting_socket_.reset();
-            self->on_connected(std::move(*socket), bytes);
-        });
+    socket->async_connect(endpoint, [self = shared_from_this(), socket, timer,
+                                     send_before, bytes = std::move(bytes)](
+                                        const asio::error_code& failed) {
+        self->loop_.cancel(timer);
+        if (self->connecting_socket_ != socket) {
+            return;
+        }
+        if (failed) {
+            self->end_exchange(exchange_result::not_sent, failed.message());
+            return;
+        }
+        if (self->loop_.now() > send_before) {
+            self->end_exchange(exchange_result::expired, "connected too late");
+            return;
+        }
+        self->connecting_socket_.reset();
+        self->on_connected(std::move(*socket), bytes);
+    });
 }
 
 void backend_connection::on_connected(tcp::socket socket,
--- a/src/entry/backend_connection.hpp
+++ b/src/entry/backend_connection.hpp
@@ -26,6 +26,9 @@
     // No byte of the request left this host, because the TCP connection was not
     // established within the timeout.
     connect_timed_out,
+    // No byte of the request left this host, because the TCP connection was
+    // established after `outgoing_request::send_before`.
+    expired,
     // Any other failure; the server may have executed the request.
     failed,
 };
@@ -48,6 +51,8 @@
     std::string target;
     base::http_headers headers;
     std::string_view body;
+    // If the connection is not established by then, nothing is sent.
+    base::time_point send_before = base::time_point::max();
 };
 
 // Encodes the head and body of a request, with a Content-Length field if the
@@ -99,7 +104,7 @@
     }
 
 private:
-    void connect(std::string bytes);
+    void connect(std::string bytes, base::time_point send_before);
     void on_connected(asio::ip::tcp::socket socket, const std::string& bytes);
     void write_request(std::string_view bytes);
     void on_bytes(std::string_view bytes);
--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -233,7 +233,7 @@
         refuse("stopping before the request could end", draining_retry_after);
         return;
     }
-    attempt_ = open_attempt(server);
+    attempt_ = open_attempt(server, search_.get());
     attempt_->is_resumption = response_started_;
     attempt_->earlier_events = relay_.event_count();
     report_.server = server.id;
@@ -247,8 +247,12 @@
     start_exchange(*attempt_);
 }
 
-call::attempt call::open_attempt(const fleet_state::backend_server& server) {
+call::attempt call::open_attempt(const fleet_state::backend_server& server,
+                                 const place_search* search) {
     attempt result;
+    if (search != nullptr && is_engine_request()) {
+        result.send_before = search->send_before();
+    }
     result.server = server;
     result.load = load_of(server);
     environment_.reachability.on_request_sent(server.failure_domain);
@@ -278,6 +282,7 @@
     outgoing.headers =
         platform_wire::encode_forwarded_headers(request_.headers, metadata);
     outgoing.body = request_.body;
+    outgoing.send_before = target.send_before;
     const auto connection = target.connection;
     const auto self = shared_from_this();
     connection->send(
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "cold_start/warmth.hpp"
 #include "entry/backend_pool.hpp"
 #include "entry/backend_status.hpp"
 #include "entry/call_report.hpp"
@@ -40,6 +41,7 @@
     fleet_state::backend_directory& servers;
     backend_pool& pool;
     backend_status& status;
+    cold_start::warmth& warmth;
     schedule_link& schedule;
     overload::retry_window& retries;
     overload::domain_reachability& reachability;
@@ -116,6 +118,8 @@
         std::uint64_t health_epoch = 0;
         std::shared_ptr<backend_connection> connection;
         base::time_point sent_at{};
+        // Latest time at which the request may be sent.
+        base::time_point send_before = base::time_point::max();
         // Load of the server when the request was sent.
         overload::completion_estimate::server_load load;
         int status = 0;
@@ -178,7 +182,8 @@
     void send(const fleet_state::backend_server& server);
     // Counts the request at the server and returns an attempt with a
     // connection.
-    attempt open_attempt(const fleet_state::backend_server& server);
+    attempt open_attempt(const fleet_state::backend_server& server,
+                         const place_search* search);
     // Sends the request on the connection of an attempt.
     void start_exchange(const attempt& target);
     // Plain servers of the service, and whether each may get the request.
--- a/src/entry/call_response.cpp
+++ b/src/entry/call_response.cpp
@@ -67,6 +67,10 @@
         current.connection->set_keep_alive_timeout(
             *current.description.keep_alive_timeout);
     }
+    if (current.description.cold_remaining) {
+        environment_.warmth.on_reported(current.server.id,
+                                        *current.description.cold_remaining);
+    }
     if (current.description.load) {
         environment_.status.on_load_report(current.server.id,
                                            *current.description.load);
@@ -163,7 +167,8 @@
                                                  exchange_result result) const {
     using overload::attempt_outcome;
     if (result == exchange_result::not_sent ||
-        result == exchange_result::connect_timed_out) {
+        result == exchange_result::connect_timed_out ||
+        result == exchange_result::expired) {
         return attempt_outcome::not_sent;
     }
     // The head is sufficient evidence that the request was not run.
--- a/src/entry/call_second_attempt.cpp
+++ b/src/entry/call_second_attempt.cpp
@@ -132,7 +132,7 @@
         environment_.shares.on_granted(organisation_,
                                        fleet_state::token_cost(description_));
     }
-    second_ = open_attempt(server);
+    second_ = open_attempt(server, second_search_.get());
     report_.attempts = attempts_sent_;
     start_exchange(*second_);
 }
--- a/src/entry/engine_pool.hpp
+++ b/src/entry/engine_pool.hpp
@@ -11,6 +11,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "fleet_state/backend_servers.hpp"
@@ -41,6 +42,10 @@
 // Returns a name for one instance of a backend server. A server that restarts
 // under the same id is a new instance, which shares no state with the old one.
 std::string instance_name(const fleet_state::backend_server& server);
+// Returns the id and the start time from such a name; the time is 0 if the name
+// has none.
+std::pair<std::string_view, std::uint64_t> parse_instance_name(
+    std::string_view name);
 
 }  // namespace bronzehub::entry
 
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -120,6 +120,7 @@
       engines_(servers_),
       connection_pool_(loop_),
       backend_status_(loop_.clock()),
+      warmth_(loop_.clock()),
       retry_window_({settings_.bounds.retry_ratio, settings_.bounds.retry_extra,
                      from_ms(settings_.bounds.retry_window_ms)},
                     loop_.clock()),
@@ -167,6 +168,7 @@
           servers_,
           connection_pool_,
           backend_status_,
+          warmth_,
           schedule_,
           retry_window_,
           reachability_,
@@ -231,7 +233,35 @@
           make_internal_hooks([this](const auto& caller, const auto& request) {
               on_operator_request(caller, request);
           })),
-      signals_(loop_.context(), SIGTERM, SIGINT, SIGHUP) {}
+      signals_(loop_.context(), SIGTERM, SIGINT, SIGHUP) {
+    schedule_.set_cold_terms(
+        [this](std::string_view engine) { return find_cold_terms(engine); });
+    fleet_watch_.on_listing_applied(
+        [this](std::span<const fleet_state::backend_server> listed,
+               base::time_point read_at) {
+            warmth_.on_listing(listed, read_at);
+        });
+}
+
+std::optional<cold_start::engine_terms> entry_node::find_cold_terms(
+    std::string_view engine) const {
+    const auto [id, started_at_ms] = parse_instance_name(engine);
+    return cold_start::find_terms(
+        fleet_watch_.configuration().get(), warmth_,
+        {settings_.bounds.cold_overrun, settings_.bounds.cold_allowance}, id,
+        started_at_ms);
+}
+
+bool entry_node::is_cold(const fleet_state::backend_server& server) const {
+    const auto terms = find_cold_terms(instance_name(server));
+    return terms && terms->is_cold;
+}
+
+std::size_t entry_node::count_cold_servers() const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        servers_.all(),
+        [this](const auto& entry) { return is_cold(entry.second); }));
+}
 
 quarantine_hooks entry_node::make_quarantine_hooks() {
     quarantine_hooks hooks;
@@ -571,6 +601,9 @@
         was_ready_ = is_ready();
         log_.info("readiness changed", {field("ready", was_ready_)});
     }
+    warmth_.remove_missing(
+        [this](std::string_view id) { return servers_.all().contains(id); });
+    log_cold_servers();
     schedule_.remove_unknown_engines([this](std::string_view engine) {
         const std::string_view id = engine.substr(0, engine.rfind('/'));
         return servers_.find_available(id) != nullptr;
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -52,6 +52,13 @@
     static constexpr std::chrono::milliseconds exit_reserve{400};
 
     quarantine_hooks make_quarantine_hooks();
+    // Returns the terms of an engine for `schedule_link::set_cold_terms`.
+    std::optional<cold_start::engine_terms> find_cold_terms(
+        std::string_view engine) const;
+    bool is_cold(const fleet_state::backend_server& server) const;
+    // Number of listed servers that may be cold.
+    std::size_t count_cold_servers() const;
+    void log_cold_servers();
     void listen_for_signals();
     // Applies the settings file if its text has changed.
     void reload_settings();
@@ -109,6 +116,7 @@
     engine_pool engines_;
     backend_pool connection_pool_;
     backend_status backend_status_;
+    cold_start::warmth warmth_;
     overload::retry_window retry_window_;
     overload::segment_demand segment_demand_;
     overload::domain_reachability reachability_;
@@ -140,6 +148,8 @@
     // The calls that were left near the end of the grace period were ended.
     bool calls_ended_ = false;
     bool was_ready_ = false;
+    // Number of cold servers in the last log line.
+    std::size_t logged_cold_servers_ = 0;
     base::time_point drain_started_at_{};
     std::uint64_t datagram_send_failures_ = 0;
     std::uint64_t malformed_datagrams_ = 0;
--- a/src/entry/entry_node_reports.cpp
+++ b/src/entry/entry_node_reports.cpp
@@ -2,6 +2,7 @@
 // periodic log lines.
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "entry/entry_node.hpp"
 
@@ -70,6 +71,16 @@
     set("bronzehub_entry_engine_waiting",
         "Requests that wait for the engines that this host schedules for.",
         static_cast<double>(schedule.waiting));
+    set("bronzehub_entry_cold_servers",
+        "Backend servers that may have just started and get few requests.",
+        static_cast<double>(count_cold_servers()));
+    set("bronzehub_entry_paced_requests",
+        "Slot requests that this host did not grant because the engine was "
+        "cold.",
+        static_cast<double>(schedule.paced_requests));
+    set("bronzehub_entry_expired_grants",
+        "Grants on cold engines that arrived too late to be used.",
+        static_cast<double>(schedule.expired_grants));
     set("bronzehub_entry_connections_opened",
         "Connections opened to backend servers.",
         static_cast<double>(connection_pool_.opened_count()));
@@ -138,6 +149,7 @@
             {"draining", server.state == fleet_state::backend_state::draining},
             {"health", capacity::to_string(
                            backend_status_.find_or_create(id).health.state())},
+            {"cold", is_cold(server)},
             {"in_flight", backend_status_.find_or_create(id).in_flight}};
     }
     return result.dump();
@@ -173,6 +185,17 @@
     }
 }
 
+void entry_node::log_cold_servers() {
+    const std::size_t cold = count_cold_servers();
+    if (cold != std::exchange(logged_cold_servers_, cold)) {
+        const auto schedule = schedule_.read_statistics();
+        log_.info("cold servers",
+                  {field("cold", cold), field("known", servers_.all().size()),
+                   field("paced", schedule.paced_requests),
+                   field("expired", schedule.expired_grants)});
+    }
+}
+
 void entry_node::log_summary() {
     call_reporter_.log_omitted_count();
     const auto store = fleet_watch_.read_statistics();
--- a/src/entry/fleet_watch.cpp
+++ b/src/entry/fleet_watch.cpp
@@ -344,6 +344,9 @@
     base::time_point read_at) {
     schedule_.on_confirmed(store_data::servers, read_at);
     log_changes(servers_.on_listing(listed, read_at));
+    if (on_listing_applied_) {
+        on_listing_applied_(listed, read_at);
+    }
 }
 
 void fleet_watch::log_changes(
--- a/src/entry/fleet_watch.hpp
+++ b/src/entry/fleet_watch.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -73,6 +74,14 @@
     // about to stop, and tells the peers. Returns whether that was news.
     bool on_server_leaving(const fleet_state::backend_server& server);
 
+    // Sets a function that is called with each complete listing of backend
+    // servers and the time at which it was read, after it was applied.
+    using listing_callback = std::function<void(
+        std::span<const fleet_state::backend_server>, base::time_point)>;
+    void on_listing_applied(listing_callback callback) {
+        on_listing_applied_ = std::move(callback);
+    }
+
     // Handles the messages of `knowledge_relay`; ignores others.
     void on_message(const std::string& from, const host_message& message) {
         relay_.on_message(from, message);
@@ -145,6 +154,7 @@
     std::uint64_t incarnation_;
     logging::logger& log_;
     std::function<void(std::string_view)> on_server_removed_;
+    listing_callback on_listing_applied_;
     store_client configuration_client_;
     store_client servers_client_;
     store_client hosts_client_;
--- a/src/entry/host_directory.cpp
+++ b/src/entry/host_directory.cpp
@@ -206,6 +206,19 @@
     return *best;
 }
 
+std::size_t host_directory::rank(std::string_view engine,
+                                 std::string_view failure_domain) const {
+    const std::uint64_t key = base::stable_hash(engine);
+    const auto score = [&](const entry_host& host) {
+        return std::pair(host.failure_domain == failure_domain,
+                         base::stable_hash(host.name, key));
+    };
+    const auto own = score(self_);
+    return static_cast<std::size_t>(std::ranges::count_if(
+        hosts_,
+        [&](const auto& entry) { return score(entry.second.host) > own; }));
+}
+
 std::size_t host_directory::host_count() const {
     return hosts_.size() + 1;
 }
--- a/src/entry/host_directory.hpp
+++ b/src/entry/host_directory.hpp
@@ -86,6 +86,12 @@
         std::string_view engine, std::string_view failure_domain,
         const std::set<std::string, std::less<>>& excluded) const;
 
+    // Number of known hosts, suspect or not, that come before this host in the
+    // rendezvous order of the engine. Does not depend on which hosts respond,
+    // so that all hosts with the same announcements agree on it.
+    std::size_t rank(std::string_view engine,
+                     std::string_view failure_domain) const;
+
     const entry_host& self() const { return self_; }
     // Number of known hosts, this one included.
     std::size_t host_count() const;
--- a/src/entry/host_directory_test.cpp
+++ b/src/entry/host_directory_test.cpp
@@ -187,3 +187,28 @@
     CHECK(std::ranges::all_of(
         received, [](const auto& entry) { return entry.second == 1; }));
 }
+
+// Guards against a third host that grants slots on a cold engine because it
+// takes two others for dead.
+TEST_CASE("the rank of a host does not depend on which hosts respond") {
+    paused_clock time;
+    host_directory hosts({"host-1", "127.0.0.1:1", "a"}, time.view());
+    hosts.on_announcement({"host-2", "127.0.0.1:2", "a"}, 1);
+    hosts.on_announcement({"host-3", "127.0.0.1:3", "b"}, 2);
+    std::size_t first = 0;
+    for (int i = 0; i < 100; ++i) {
+        const std::string engine = "i-" + std::to_string(i);
+        const std::size_t rank = hosts.rank(engine, "a");
+        CHECK(rank < 2);
+        CHECK((rank == 0) == (hosts.owner(engine, "a").name == "host-1"));
+        CHECK(hosts.rank(engine, "b") > 0);
+        hosts.mark_suspect("host-2");
+        hosts.mark_suspect("host-3");
+        CHECK(hosts.rank(engine, "a") == rank);
+        hosts.clear_suspicion("host-2");
+        hosts.clear_suspicion("host-3");
+        first += rank == 0 ? 1 : 0;
+    }
+    CHECK(first > 20);
+    CHECK(first < 80);
+}
--- a/src/entry/knowledge_relay.cpp
+++ b/src/entry/knowledge_relay.cpp
@@ -25,7 +25,8 @@
             server.failure_domain,
             server.slots,
             server.started_at_ms,
-            server.state == backend_state::draining};
+            server.state == backend_state::draining,
+            server.cold_remaining ? server.cold_remaining->count() : -1};
 }
 
 backend_server from_message(const server_message& message) {
@@ -38,6 +39,9 @@
     result.started_at_ms = message.started_at_ms;
     result.state =
         message.draining ? backend_state::draining : backend_state::available;
+    if (message.cold_remaining_ms >= 0) {
+        result.cold_remaining = milliseconds(message.cold_remaining_ms);
+    }
     return result;
 }
 
@@ -82,6 +86,14 @@
             server.id, "\n", server.service, "\n", server.address, "\n",
             server.failure_domain, "\n", server.slots, "\n",
             server.started_at_ms, "\n", static_cast<int>(server.state)));
+        // In whole seconds, so that a server that is warming up changes the
+        // listing only a few times.
+        const auto cold_s = std::chrono::ceil<std::chrono::seconds>(
+            server.cold_remaining.value_or(milliseconds(0)));
+        if (cold_s.count() > 0) {
+            sum += base::stable_hash(
+                absl::StrCat(server.id, "\n", cold_s.count()));
+        }
     }
     return sum;
 }
--- a/src/entry/place_search.cpp
+++ b/src/entry/place_search.cpp
@@ -36,6 +36,12 @@
     next_candidate_ = environment_.load.is_late() ? candidates_.size() : 0;
     final_round_ = false;
     if (candidates_.empty()) {
+        if (environment_.schedule.any_paced()) {
+            min_retry_after_ =
+                std::min<base::duration>(min_retry_after_, paced_retry_after);
+            report_full();
+            return;
+        }
         callbacks_.on_no_server();
         return;
     }
@@ -47,11 +53,16 @@
     std::vector<overload::engine_candidate> usable;
     usable.reserve(all.size());
     const bool any_limited = environment_.status.any_limited();
+    const bool any_paced = environment_.schedule.any_paced();
+    const auto is_paced = [&](const std::string& server) {
+        return any_paced && environment_.schedule.is_paced(server);
+    };
     const auto probed = environment_.reachability.domain_due_for_probe();
     std::ranges::copy_if(
         all, std::back_inserter(usable), [&](const auto& each) {
             const std::string& domain = each.server->failure_domain;
             return !excluded_.contains(each.server->id) &&
+                   !is_paced(each.server->id) &&
                    (!environment_.reachability.is_unreachable(domain) ||
                     domain == probed) &&
                    (!any_limited ||
@@ -62,6 +73,7 @@
         std::ranges::copy_if(
             all, std::back_inserter(usable), [&](const auto& each) {
                 return !excluded_.contains(each.server->id) &&
+                       !is_paced(each.server->id) &&
                        !environment_.status.is_paused(each.server->id);
             });
     }
@@ -164,13 +176,14 @@
     }
     ++sequence_;
     schedule_owner_ = response.owner;
+    send_before_ = response.send_before;
     if (response.granted) {
         slot_number_ = response.number;
         callbacks_.on_granted(response, server);
         return;
     }
     slot_number_.reset();
-    if (response.unreachable) {
+    if (response.unreachable || response.paced) {
         excluded_.insert(server);
         if (final_round_) {
             begin_round();
--- a/src/entry/place_search.hpp
+++ b/src/entry/place_search.hpp
@@ -79,6 +79,9 @@
     // Upper limit of `retry_after` in `on_full`, and its value if no engine
     // gave one.
     static constexpr std::chrono::milliseconds max_full_retry_after{20000};
+    // `retry_after` if engines were only left out because they are cold: the
+    // pace of a cold engine is counted in seconds.
+    static constexpr std::chrono::milliseconds paced_retry_after{1000};
 
     place_search(search_environment& environment, search_criteria criteria,
                  search_callbacks callbacks);
@@ -94,6 +97,8 @@
 
     // Number of the slot request that is open or granted, if any.
     std::optional<std::uint64_t> slot_number() const { return slot_number_; }
+    // Latest time at which the request may be sent on the granted slot.
+    base::time_point send_before() const { return send_before_; }
     // Name of the host that sent the last response, as owner of the engine's
     // schedule.
     const std::string& schedule_owner() const { return schedule_owner_; }
@@ -141,6 +146,7 @@
     // outdated or that arrive before `request_slot` returns.
     std::uint64_t sequence_ = 0;
     std::string schedule_owner_;
+    base::time_point send_before_ = base::time_point::max();
 };
 
 }  // namespace bronzehub::entry
--- a/src/entry/schedule_link.cpp
+++ b/src/entry/schedule_link.cpp
@@ -10,6 +10,7 @@
 namespace bronzehub::entry {
 namespace {
 
+using cold_start::slot_decision;
 using overload::engine_decision;
 using overload::scheduled_request;
 using overload::scheduled_request_id;
@@ -34,7 +35,15 @@
       clock_(std::move(clock)),
       timers_(std::move(timers)),
       send_(std::move(send)),
-      incarnation_(incarnation) {}
+      incarnation_(incarnation),
+      gate_(clock_) {}
+
+void schedule_link::set_cold_terms(find_cold_terms find) {
+    gate_.set_hooks({std::move(find),
+                     [this](std::string_view engine, std::string_view domain) {
+                         return hosts_.rank(engine, domain);
+                     }});
+}
 
 overload::engine_scheduler& schedule_link::find_or_create_scheduler(
     const std::string& engine, overload::engine_capacity capacity) {
@@ -44,15 +53,21 @@
             capacity, shares_, clock_,
             overload::scheduler_callbacks{
                 [this, engine](const scheduled_request_id& id) {
-                    send_response(id, engine, engine_decision::granted, {});
+                    gate_.on_waiting_granted(engine);
+                    send_response(id, engine, {engine_decision::granted});
                 },
                 [this, engine](const scheduled_request_id& id,
                                base::duration retry_after) {
-                    send_response(id, engine, engine_decision::refused,
-                                  retry_after);
+                    send_response(id, engine,
+                                  {engine_decision::refused, retry_after});
                 },
                 [this, engine](const scheduled_request_id& id) {
-                    send_response(id, engine, engine_decision::unreachable, {});
+                    send_response(id, engine, {engine_decision::unreachable});
+                },
+                [this, engine](const scheduled_request_id& id) {
+                    send_response(id, engine,
+                                  {engine_decision::paced,
+                                   cold_start::schedule_gate::min_retry_after});
                 }});
     }
     scheduler->set_capacity(capacity);
@@ -75,9 +90,12 @@
 
 void schedule_link::send_request(std::uint64_t number) {
     open_request& entry = open_requests_.at(number);
-    entry.owner =
+    const entry_host& owner =
         hosts_.owner(entry.request.engine, entry.request.failure_domain);
-    entry.requested_at = clock_.now();
+    if (entry.owner.name != owner.name) {
+        entry.requested_at = clock_.now();
+    }
+    entry.owner = owner;
     if (entry.owner.name == hosts_.self().name) {
         submit_locally(number);
         return;
@@ -120,18 +138,56 @@
     open_request& entry = open_requests_.at(number);
     auto& scheduler =
         find_or_create_scheduler(entry.request.engine, entry.request.capacity);
-    const std::string organisation =
-        entry.request.scheduled_request.organisation;
-    const engine_decision decision =
-        scheduler.submit(entry.request.scheduled_request);
-    if (decision != engine_decision::waiting) {
-        on_slot_response(number, decision, scheduler.retry_after(organisation));
+    const std::string engine = entry.request.engine;
+    const slot_decision decision =
+        gate_.decide(engine, scheduler, entry.request.scheduled_request);
+    if (decision.decision != engine_decision::waiting) {
+        on_slot_response(number, decision);
+    }
+}
+
+void schedule_link::on_engine_event(const std::string& engine,
+                                    const scheduled_request_id& id,
+                                    bool in_time) {
+    const auto found = schedulers_.find(engine);
+    if (found == schedulers_.end()) {
+        return;
+    }
+    gate_.before_first_event(engine, *found->second);
+    found->second->on_first_event(id, {}, in_time);
+}
+
+void schedule_link::on_engine_release(const std::string& engine,
+                                      const scheduled_request_id& id,
+                                      bool reached) {
+    const auto found = schedulers_.find(engine);
+    if (found == schedulers_.end()) {
+        return;
+    }
+    gate_.before_release(engine, *found->second, reached);
+    if (reached) {
+        found->second->release(id);
+    } else {
+        found->second->release_unreached(id);
+    }
+}
+
+void schedule_link::on_slot_response_message(const host_message& message) {
+    slot_decision decision{static_cast<engine_decision>(message.decision),
+                           milliseconds(message.retry_after_ms),
+                           milliseconds(message.send_within_ms)};
+    const auto found = open_requests_.find(message.number);
+    // A grant of an owner that was passed over meanwhile may be old.
+    if (found != open_requests_.end() && decision.send_within.count() > 0 &&
+        found->second.owner.name != message.host) {
+        return;
     }
+    on_slot_response(message.number, decision);
 }
 
 void schedule_link::on_slot_response(std::uint64_t number,
-                                     engine_decision decision,
-                                     base::duration retry_after) {
+                                     const slot_decision& decided) {
+    const engine_decision decision = decided.decision;
     const auto found = open_requests_.find(number);
     if (found == open_requests_.end() || found->second.granted) {
         return;
@@ -149,8 +205,25 @@
     result.number = number;
     result.granted = decision == engine_decision::granted;
     result.unreachable = decision == engine_decision::unreachable;
-    result.retry_after = retry_after;
+    result.paced = decision == engine_decision::paced;
+    result.retry_after = decided.retry_after;
     result.owner = entry.owner.name;
+    if (result.granted && decided.send_within.count() > 0) {
+        result.send_before = entry.requested_at + decided.send_within;
+    }
+    if (clock_.now() > result.send_before) {
+        ++statistics_.expired_grants;
+        end_request(number, true);
+        result.granted = false;
+        result.paced = true;
+        on_response(result);
+        return;
+    }
+    if (result.paced) {
+        paced_until_[entry.request.server] =
+            clock_.now() + std::min<base::duration>(decided.retry_after,
+                                                    cold_start::limited_span);
+    }
     if (result.granted) {
         entry.granted = true;
         refused_at_.erase(entry.request.server);
@@ -174,17 +247,16 @@
         }
         found->second.timer.reset();
         ++statistics_.lost_responses;
-        on_slot_response(number, engine_decision::refused,
-                         lost_response_retry_after);
+        on_slot_response(number,
+                         {engine_decision::refused, lost_response_retry_after});
     });
 }
 
 void schedule_link::send_response(const scheduled_request_id& id,
                                   const std::string& engine,
-                                  engine_decision decision,
-                                  base::duration retry_after) {
+                                  const slot_decision& decision) {
     if (id.host == requester_id(hosts_.self().name, incarnation_)) {
-        on_slot_response(id.number, decision, retry_after);
+        on_slot_response(id.number, decision);
         return;
     }
     const auto remote = remote_hosts_.find(id.host);
@@ -195,13 +267,15 @@
     message.type = static_cast<std::uint8_t>(message_type::slot_response);
     message.number = id.number;
     message.engine = engine;
-    message.decision = static_cast<std::uint8_t>(decision);
-    message.retry_after_ms = duration_cast<milliseconds>(retry_after).count();
+    message.decision = static_cast<std::uint8_t>(decision.decision);
+    message.retry_after_ms =
+        duration_cast<milliseconds>(decision.retry_after).count();
+    message.send_within_ms = decision.send_within.count();
     send_message(remote->second.address, std::move(message));
 }
 
 void schedule_link::report_first_event(std::uint64_t number,
-                                       base::duration since_grant,
+                                       base::duration /*since_grant*/,
                                        bool in_time) {
     const auto found = open_requests_.find(number);
     if (found == open_requests_.end() || found->second.started) {
@@ -210,9 +284,9 @@
     open_request& entry = found->second;
     entry.started = true;
     if (entry.owner.name == hosts_.self().name) {
-        find_or_create_scheduler(entry.request.engine, entry.request.capacity)
-            .on_first_event(entry.request.scheduled_request.id, since_grant,
-                            in_time);
+        find_or_create_scheduler(entry.request.engine, entry.request.capacity);
+        on_engine_event(entry.request.engine,
+                        entry.request.scheduled_request.id, in_time);
         return;
     }
     host_message message;
@@ -229,6 +303,17 @@
            clock_.now() - found->second < refusal_hint_lifetime;
 }
 
+bool schedule_link::is_paced(std::string_view server) const {
+    const auto found = paced_until_.find(server);
+    return found != paced_until_.end() && clock_.now() < found->second;
+}
+
+bool schedule_link::any_paced() const {
+    return std::ranges::any_of(paced_until_, [this](const auto& entry) {
+        return clock_.now() < entry.second;
+    });
+}
+
 void schedule_link::release(std::uint64_t number) {
     end_request(number, true);
 }
@@ -248,13 +333,9 @@
         timers_.cancel(*entry.timer);
     }
     if (entry.owner.name == hosts_.self().name) {
-        auto& scheduler = find_or_create_scheduler(entry.request.engine,
-                                                   entry.request.capacity);
-        if (reached) {
-            scheduler.release(entry.request.scheduled_request.id);
-        } else {
-            scheduler.release_unreached(entry.request.scheduled_request.id);
-        }
+        find_or_create_scheduler(entry.request.engine, entry.request.capacity);
+        on_engine_release(entry.request.engine,
+                          entry.request.scheduled_request.id, reached);
         return;
     }
     host_message message;
@@ -337,26 +418,15 @@
             on_slot_request(from, message);
             break;
         case message_type::slot_response:
-            on_slot_response(message.number,
-                             static_cast<engine_decision>(message.decision),
-                             milliseconds(message.retry_after_ms));
+            on_slot_response_message(message);
             break;
         case message_type::first_event:
-            if (const auto found = schedulers_.find(message.engine);
-                found != schedulers_.end()) {
-                found->second->on_first_event(id, {}, message.in_time);
-            }
+            on_engine_event(message.engine, id, message.in_time);
             break;
         case message_type::release:
-            if (const auto found = schedulers_.find(message.engine);
-                found != schedulers_.end()) {
-                if (static_cast<engine_decision>(message.decision) ==
-                    engine_decision::unreachable) {
-                    found->second->release_unreached(id);
-                } else {
-                    found->second->release(id);
-                }
-            }
+            on_engine_release(message.engine, id,
+                              static_cast<engine_decision>(message.decision) !=
+                                  engine_decision::unreachable);
             break;
         case message_type::inventory:
             on_inventory(from, message);
@@ -380,9 +450,9 @@
     auto& scheduler = find_or_create_scheduler(
         request.engine,
         {.slots = request.slots, .memory_tokens = request.memory_tokens});
-    const auto decision = scheduler.submit(decode_request(requester, request));
-    send_response({requester, request.number}, request.engine, decision,
-                  scheduler.retry_after(request.organisation));
+    const slot_decision decision = gate_.decide(
+        request.engine, scheduler, decode_request(requester, request));
+    send_response({requester, request.number}, request.engine, decision);
 }
 
 void schedule_link::on_inventory(const std::string& from,
@@ -402,14 +472,18 @@
         }
     }
     for (const auto& [engine, scheduler] : schedulers_) {
+        if (scheduler->waiting() > 0) {
+            gate_.update(engine, *scheduler);
+        }
         scheduler->reconcile(requester, running[engine],
                              clock_.now() - inventory_grace_period);
     }
 }
 
 void schedule_link::tick() {
-    std::ranges::for_each(schedulers_, [](const auto& entry) {
+    std::ranges::for_each(schedulers_, [this](const auto& entry) {
         if (entry.second->waiting() > 0) {
+            gate_.update(entry.first, *entry.second);
             entry.second->tick();
         }
     });
@@ -441,11 +515,14 @@
     std::erase_if(refused_at_, [&](const auto& entry) {
         return now - entry.second > refusal_hint_lifetime;
     });
+    std::erase_if(paced_until_,
+                  [&](const auto& entry) { return now >= entry.second; });
     std::erase_if(remote_hosts_, [&](const auto& remote) {
         if (now - remote.second.last_inventory_at < host_timeout) {
             return false;
         }
         for (const auto& [engine, scheduler] : schedulers_) {
+            gate_.update(engine, *scheduler);
             scheduler->release_host(remote.first);
         }
         return true;
@@ -458,10 +535,14 @@
         return !is_known(entry.first) && entry.second->running() == 0 &&
                entry.second->waiting() == 0;
     });
+    gate_.remove_unknown([this](const std::string& engine) {
+        return schedulers_.contains(engine);
+    });
 }
 
 schedule_link::statistics schedule_link::read_statistics() const {
     statistics result = statistics_;
+    result.paced_requests = gate_.paced_count();
     result.schedulers = schedulers_.size();
     for (const auto& [engine, scheduler] : schedulers_) {
         result.running += scheduler->running();
--- a/src/entry/schedule_link.hpp
+++ b/src/entry/schedule_link.hpp
@@ -12,10 +12,12 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 
+#include "cold_start/schedule_gate.hpp"
 #include "entry/host_directory.hpp"
 #include "entry/schedule_messages.hpp"
 #include "net/event_loop.hpp"
@@ -43,6 +45,11 @@
     bool granted = false;
     // The engine can't be reached; another one may have a free slot.
     bool unreachable = false;
+    // The engine has just started and gets no more requests now; another one
+    // may have a free slot.
+    bool paced = false;
+    // Latest time at which a granted request may be sent to the engine.
+    base::time_point send_before = base::time_point::max();
     // After a refusal: the time after which the caller should retry.
     base::duration retry_after{};
     // Name of the host that decided.
@@ -110,6 +117,17 @@
     // `refusal_hint_lifetime`, so that a new request would likely be refused.
     bool was_recently_refused(std::string_view server) const;
 
+    // Whether the server was over its pace when last asked and still is. A new
+    // request for a slot there would be refused.
+    bool is_paced(std::string_view server) const;
+    bool any_paced() const;
+
+    // Limits the grants on cold engines from now on.
+    using find_cold_terms =
+        std::function<std::optional<cold_start::engine_terms>(
+            std::string_view engine)>;
+    void set_cold_terms(find_cold_terms find);
+
     // Frees the slot, or withdraws the request if it is not granted yet.
     void release(std::uint64_t number);
     // Frees the slot of a request that could not be sent, because no server
@@ -141,6 +159,10 @@
         std::uint64_t owners_passed_over = 0;
         // Waiting requests that ended without a decision.
         std::uint64_t lost_responses = 0;
+        // Slot requests that this host refused to grant because the engine was
+        // cold, and grants on cold engines that came too late to be used.
+        std::uint64_t paced_requests = 0;
+        std::uint64_t expired_grants = 0;
         // Requests on the engines that this host owns, and its schedulers.
         std::uint64_t running = 0;
         std::uint64_t waiting = 0;
@@ -159,6 +181,7 @@
         bool started = false;
         // Whether the request was retransmitted to its present owner.
         bool repeated = false;
+        // When the request was first sent to its present owner.
         base::time_point requested_at;
         std::optional<base::timer_id> timer;
     };
@@ -170,13 +193,19 @@
     // Starts the timer that retransmits a request without a response, and that
     // sends it to the next owner the second time.
     void start_response_timer(std::uint64_t number);
+    void on_engine_event(const std::string& engine,
+                         const overload::scheduled_request_id& id,
+                         bool in_time);
+    void on_engine_release(const std::string& engine,
+                           const overload::scheduled_request_id& id,
+                           bool reached);
     // Starts the timer that refuses a waiting request without a decision.
     void start_decision_timer(std::uint64_t number);
     void submit_locally(std::uint64_t number);
     void end_request(std::uint64_t number, bool reached);
     void on_slot_response(std::uint64_t number,
-                          overload::engine_decision decision,
-                          base::duration retry_after);
+                          const cold_start::slot_decision& decided);
+    void on_slot_response_message(const host_message& message);
     void on_slot_request(const std::string& from, const host_message& message);
     void on_inventory(const std::string& from, const host_message& message);
     scheduled_request_message encode_request(std::uint64_t number,
@@ -187,8 +216,7 @@
     void send_message(const std::string& address, host_message message);
     void send_response(const overload::scheduled_request_id& id,
                        const std::string& engine,
-                       overload::engine_decision decision,
-                       base::duration retry_after);
+                       const cold_start::slot_decision& decision);
 
     host_directory& hosts_;
     const overload::fleet_shares& shares_;
@@ -212,6 +240,9 @@
     std::map<std::string, remote_host> remote_hosts_;
     // When a slot was last refused, by server id.
     std::map<std::string, base::time_point, std::less<>> refused_at_;
+    // Until when `is_paced` holds, by server id.
+    std::map<std::string, base::time_point, std::less<>> paced_until_;
+    cold_start::schedule_gate gate_;
     statistics statistics_;
 };
 
--- a/src/entry/schedule_link_test.cpp
+++ b/src/entry/schedule_link_test.cpp
@@ -189,3 +189,65 @@
         {"", "x", std::string(300, '\xff'), "\x93\x01\x02\x03"}));
     CHECK_FALSE(decode_message(bytes).has_value());
 }
+
+// Terms of an engine that is cold, in the failure domain of host `two`.
+std::optional<bronzehub::cold_start::engine_terms> cold_terms(
+    std::string_view /*engine*/) {
+    return bronzehub::cold_start::engine_terms{
+        bronzehub::cold_start::divide_pace(10, 20), 3s, true, "b"};
+}
+
+// Load pattern: requests for the free slots of an engine that has just started.
+// Guards against requests that are sent together although they were granted at
+// different times, because their host or a link was slow.
+TEST_CASE("a late grant on a cold engine is given back") {
+    const auto [delay, granted] = GENERATE(table<duration, bool>({
+        {10ms, true},
+        {59ms, true},
+        {155ms, false},
+    }));
+    pair_of_hosts hosts;
+    hosts.two.link.set_cold_terms(cold_terms);
+    hosts.advance(3s);
+    hosts.one.directory.clear_suspicion("two");
+    hosts.request_slot();
+    const auto request = hosts.sent.front();
+    hosts.sent.clear();
+    hosts.two.receive(request.from, request.bytes);
+    const auto response = hosts.sent.front();
+    hosts.sent.clear();
+    // The timers of the frozen host run after it has read the response.
+    hosts.time.advance(delay);
+    hosts.one.receive(response.from, response.bytes);
+    REQUIRE(hosts.responses.size() == 1);
+    CHECK(hosts.responses[0].granted == granted);
+    CHECK(hosts.responses[0].paced == !granted);
+    CHECK(hosts.one.link.read_statistics().expired_grants ==
+          (granted ? 0U : 1U));
+    hosts.deliver();
+    CHECK(hosts.two.link.read_statistics().running == (granted ? 1U : 0U));
+}
+
+// Guards against a second granter of a cold engine: a host that can't reach the
+// owner becomes owner in its own view.
+TEST_CASE("requests beyond the pace go elsewhere at once") {
+    pair_of_hosts hosts;
+    hosts.two.link.set_cold_terms(cold_terms);
+    hosts.advance(3s);
+    for (int i = 0; i < 3; ++i) {
+        auto request = hosts.make_request();
+        request.server = "i-1";
+        request.capacity.slots = 24;
+        hosts.one.link.request_slot(request,
+                                    [&](const slot_response& response) {
+                                        hosts.responses.push_back(response);
+                                    });
+    }
+    hosts.deliver();
+    REQUIRE(hosts.responses.size() == 3);
+    CHECK(hosts.responses[0].granted);
+    CHECK(hosts.responses[1].paced);
+    CHECK(hosts.one.link.is_paced("i-1"));
+    hosts.advance(1s);
+    CHECK_FALSE(hosts.one.link.any_paced());
+}
--- a/src/entry/schedule_messages.hpp
+++ b/src/entry/schedule_messages.hpp
@@ -84,8 +84,11 @@
     std::uint32_t slots = 0;
     std::uint64_t started_at_ms = 0;
     bool draining = false;
+    // How much longer the server is slow after its start; negative if it did
+    // not report that.
+    std::int64_t cold_remaining_ms = -1;
     MSGPACK_DEFINE_ARRAY(id, service, address, failure_domain, slots,
-                         started_at_ms, draining)
+                         started_at_ms, draining, cold_remaining_ms)
 };
 
 // One part of a listing of backend servers. A listing is split so that each
@@ -269,10 +272,14 @@
     // At most one entry each, in a message of that type.
     std::vector<segment_report_message> segment_reports;
     std::vector<segment_table_message> segment_tables;
+    // In a `slot_response` that grants a slot on a cold engine: time from the
+    // request for the slot within which the request must be sent to the engine.
+    // Zero if it may be sent at any time.
+    std::int64_t send_within_ms = 0;
     MSGPACK_DEFINE_ARRAY(version, type, host, incarnation, work, number, engine,
                          decision, retry_after_ms, in_time, knowledge, listing,
                          failure_domain, shares, configuration, hosts,
-                         segment_reports, segment_tables)
+                         segment_reports, segment_tables, send_within_ms)
 };
 
 std::string encode_message(const host_message& message);
--- a/src/overload/engine_scheduler.cpp
+++ b/src/overload/engine_scheduler.cpp
@@ -273,13 +273,27 @@
             ? base::duration(first_probe_delay)
             : std::min<base::duration>(2 * probe_delay_, max_probe_delay);
     next_probe_at_ = clock_.now() + probe_delay_;
+    give_up_waiting(callbacks_.unreachable);
+}
+
+void engine_scheduler::give_up_waiting(
+    const std::function<void(const scheduled_request_id&)>& callback) {
     // The requests may still find a slot on another engine in time.
     const std::list<scheduled_request> given_up = std::exchange(waiting_, {});
     for (const scheduled_request& request : given_up) {
-        callbacks_.unreachable(request.id);
+        callback(request.id);
     }
 }
 
+void engine_scheduler::begin_cold() {
+    prefill_window_ = min_prefill_window;
+    give_up_waiting(callbacks_.paced);
+}
+
+void engine_scheduler::end_cold() {
+    prefill_window_ = std::max(prefill_window_, initial_prefill_window);
+}
+
 void engine_scheduler::reconcile(const std::string& host,
                                  const std::vector<std::uint64_t>& running,
                                  base::time_point granted_before) {
--- a/src/overload/engine_scheduler.hpp
+++ b/src/overload/engine_scheduler.hpp
@@ -76,7 +76,10 @@
     // The request got no slot and is no longer scheduled.
     refused,
     // As `refused`, because recent requests could not reach the engine.
-    unreachable
+    unreachable,
+    // As `refused`, because the engine has just started and got as many
+    // requests as it tolerates; another engine may have a free slot.
+    paced
 };
 
 struct scheduler_callbacks {
@@ -87,6 +90,8 @@
         refused;
     // Called for each waiting request when the engine can't be reached.
     std::function<void(const scheduled_request_id&)> unreachable;
+    // Called for each waiting request when `begin_cold` gives it up.
+    std::function<void(const scheduled_request_id&)> paced{};
 };
 
 // Not thread-safe.
@@ -162,6 +167,16 @@
 
     void set_capacity(engine_capacity capacity) { capacity_ = capacity; }
 
+    // Called when the engine may have just started. Gives up the waiting
+    // requests, because the next ones may start late, and reduces the prefill
+    // window, because the engine is slow.
+    void begin_cold();
+    // Called when the engine is warm; ends the effect of `begin_cold`.
+    void end_cold();
+
+    // Prompt tokens of the request that the engine has not cached.
+    std::uint32_t prefill_tokens(const scheduled_request& request) const;
+
     // Whether the request is running or waiting.
     bool contains(const scheduled_request_id& id) const;
     std::size_t running() const { return running_.size(); }
@@ -192,8 +207,6 @@
         base::time_point last_use;
     };
 
-    // Prompt tokens of the request that the engine has not cached.
-    std::uint32_t prefill_tokens(const scheduled_request& request) const;
     // KV cache tokens that the request adds to those in use.
     std::uint64_t required_memory(const scheduled_request& request) const;
     // Whether the slots, the KV cache and the prefill window have room for the
@@ -225,6 +238,9 @@
     // The waiting request to refuse first.
     std::list<scheduled_request>::iterator last_request();
     void grant_waiting();
+    // Ends the wait of all requests, each with a call of `callback`.
+    void give_up_waiting(
+        const std::function<void(const scheduled_request_id&)>& callback);
     bool is_underserved(const std::string& organisation) const;
     // Whether the request would miss its latest start if `ahead` others were
     // granted before it.
