--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -269,8 +269,9 @@
         self.leaving = False
         # Value of Retry-After in rejections; None for no such field.
         self.retry_after = None
-        # Start time in its registration.
+        # Start time in its registration, and how long it says to be cold.
         self.born = 1
+        self.cold_remaining_ms = 0
         # Id of the request that was rejected last.
         self.rejected_id = None
         # More than the socket buffers hold.
@@ -325,7 +326,7 @@
                 "version": "v1",
                 "capacity-slots": self.slots,
                 "state": state,
-                "cold-remaining-ms": 0,
+                "cold-remaining-ms": self.cold_remaining_ms,
                 "sequence": 1,
                 "born": self.born,
             },
