--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -126,6 +126,7 @@
       engines_(servers_),
       connection_pool_(loop_),
       backend_status_(loop_.clock()),
+      warmth_(loop_.clock()),
       retry_window_({settings_.bounds.retry_ratio, settings_.bounds.retry_extra,
                      from_ms(settings_.bounds.retry_window_ms)},
                     loop_.clock()),
@@ -164,10 +165,8 @@
           },
           incarnation_, log_,
           [this](std::string_view id) { backend_status_.remove(id); },
-          [this](const evacuation::domain_set& domains) {
-              const std::size_t moved = schedule_.withdraw_waiting(domains);
-              evacuation_moves_ += moved;
-              return moved;
+          [this](const evacuation::set_change& change) {
+              return on_evacuation_change(change);
           }),
       quarantine_store_(loop_, settings_.store.address, settings_.host.name,
                         log_),
@@ -178,6 +177,7 @@
           servers_,
           connection_pool_,
           backend_status_,
+          warmth_,
           schedule_,
           retry_window_,
           reachability_,
@@ -242,7 +242,57 @@
           make_internal_hooks([this](const auto& caller, const auto& request) {
               on_operator_request(caller, request);
           })),
-      signals_(loop_.context(), SIGTERM, SIGINT, SIGHUP) {}
+      signals_(loop_.context(), SIGTERM, SIGINT, SIGHUP) {
+    schedule_.set_cold_terms(
+        [this](std::string_view engine) { return find_cold_terms(engine); });
+    fleet_watch_.on_listing_applied(
+        [this](std::span<const fleet_state::backend_server> listed,
+               base::time_point read_at) {
+            warmth_.on_listing(listed, read_at);
+        });
+}
+
+std::optional<cold_start::engine_terms> entry_node::find_cold_terms(
+    std::string_view engine) const {
+    const auto [id, started_at_ms] = parse_instance_name(engine);
+    auto terms = cold_start::find_terms(
+        fleet_watch_.configuration().get(), warmth_,
+        {settings_.bounds.cold_overrun, settings_.bounds.cold_allowance}, id,
+        started_at_ms);
+    // A host that knows that the domain was taken back may ask before this one
+    // has learnt it.
+    if (terms && fleet_watch_.evacuated_domains().domains().contains(
+                     terms->failure_domain)) {
+        terms->is_cold = true;
+    }
+    return terms;
+}
+
+std::size_t entry_node::on_evacuation_change(
+    const evacuation::set_change& change) {
+    // The servers may have restarted while the domain was out of use.
+    std::ranges::for_each(change.removed, [this](const std::string& domain) {
+        warmth_.on_domain_returned(domain);
+    });
+    if (change.added.empty()) {
+        return 0;
+    }
+    const std::size_t moved =
+        schedule_.withdraw_waiting(fleet_watch_.evacuated_domains().domains());
+    evacuation_moves_ += moved;
+    return moved;
+}
+
+bool entry_node::is_cold(const fleet_state::backend_server& server) const {
+    const auto terms = find_cold_terms(instance_name(server));
+    return terms && terms->is_cold;
+}
+
+std::size_t entry_node::count_cold_servers() const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        servers_.all(),
+        [this](const auto& entry) { return is_cold(entry.second); }));
+}
 
 quarantine_hooks entry_node::make_quarantine_hooks() {
     quarantine_hooks hooks;
@@ -584,6 +634,9 @@
         was_ready_ = is_ready();
         log_.info("readiness changed", {field("ready", was_ready_)});
     }
+    warmth_.remove_missing(
+        [this](std::string_view id) { return servers_.all().contains(id); });
+    log_cold_servers();
     schedule_.remove_unknown_engines([this](std::string_view engine) {
         const std::string_view id = engine.substr(0, engine.rfind('/'));
         return servers_.find_available(id) != nullptr;
--- a/src/entry/fleet_watch.cpp
+++ b/src/entry/fleet_watch.cpp
@@ -37,7 +37,8 @@
     host_directory& hosts, datagram_sender send, std::uint64_t incarnation,
     logging::logger& log,
     std::function<void(std::string_view)> on_server_removed,
-    std::function<std::size_t(const evacuation::domain_set&)> on_evacuated)
+    std::function<std::size_t(const evacuation::set_change&)>
+        on_evacuation_change)
     : loop_(loop),
       servers_(servers),
       hosts_(hosts),
@@ -51,7 +52,7 @@
              make_relay_callbacks()),
       schedule_(fleet_state::make_read_schedule_options(max_age), loop.clock()),
       evacuated_(loop.clock()),
-      on_evacuated_(std::move(on_evacuated)) {}
+      on_evacuation_change_(std::move(on_evacuation_change)) {}
 
 relay_callbacks fleet_watch::make_relay_callbacks() {
     relay_callbacks result;
@@ -284,7 +285,7 @@
         return;
     }
     servers_.set_evacuated_domains(domains);
-    const std::size_t moved = change.added.empty() ? 0 : on_evacuated_(domains);
+    const std::size_t moved = on_evacuation_change_(change);
     for (const std::string& domain : change.added) {
         log_.info("failure domain evacuated",
                   {field("failure_domain", domain), field("source", source),
@@ -433,6 +434,9 @@
     base::time_point read_at) {
     schedule_.on_confirmed(store_data::servers, read_at);
     log_changes(servers_.on_listing(listed, read_at));
+    if (on_listing_applied_) {
+        on_listing_applied_(listed, read_at);
+    }
 }
 
 void fleet_watch::log_changes(
--- a/src/entry/fleet_watch.hpp
+++ b/src/entry/fleet_watch.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -64,15 +65,15 @@
     // `on_server_removed` is called with the id of each backend server whose
     // instance is no longer listed.
     // `max_age` is the age at which store data must not be acted on any more.
-    // `on_evacuated` is called with the evacuated failure domains when there is
-    // a new one, and returns the number of waiting requests that it moved.
-    fleet_watch(
-        net::event_loop& loop, const std::string& store_address,
-        base::duration max_age, fleet_state::backend_directory& servers,
-        host_directory& hosts, datagram_sender send, std::uint64_t incarnation,
-        logging::logger& log,
-        std::function<void(std::string_view)> on_server_removed,
-        std::function<std::size_t(const evacuation::domain_set&)> on_evacuated);
+    // `on_evacuation_change` is called when failure domains were evacuated or
+    // taken back, and returns the number of waiting requests that it moved.
+    fleet_watch(net::event_loop& loop, const std::string& store_address,
+                base::duration max_age, fleet_state::backend_directory& servers,
+                host_directory& hosts, datagram_sender send,
+                std::uint64_t incarnation, logging::logger& log,
+                std::function<void(std::string_view)> on_server_removed,
+                std::function<std::size_t(const evacuation::set_change&)>
+                    on_evacuation_change);
 
     // Starts announcing this host and reading the store.
     void start();
@@ -83,6 +84,14 @@
     // about to stop, and tells the peers. Returns whether that was news.
     bool on_server_leaving(const fleet_state::backend_server& server);
 
+    // Sets a function that is called with each complete listing of backend
+    // servers and the time at which it was read, after it was applied.
+    using listing_callback = std::function<void(
+        std::span<const fleet_state::backend_server>, base::time_point)>;
+    void on_listing_applied(listing_callback callback) {
+        on_listing_applied_ = std::move(callback);
+    }
+
     // Handles the messages of `knowledge_relay`; ignores others.
     void on_message(const std::string& from, const host_message& message) {
         relay_.on_message(from, message);
@@ -172,6 +181,7 @@
     std::uint64_t incarnation_;
     logging::logger& log_;
     std::function<void(std::string_view)> on_server_removed_;
+    listing_callback on_listing_applied_;
     store_client configuration_client_;
     store_client servers_client_;
     store_client hosts_client_;
@@ -181,7 +191,8 @@
     base::time_point started_at_{};
 
     evacuation::evacuated_domains evacuated_;
-    std::function<std::size_t(const evacuation::domain_set&)> on_evacuated_;
+    std::function<std::size_t(const evacuation::set_change&)>
+        on_evacuation_change_;
     // How often the evacuated domains are still to be sent to other domains.
     int evacuation_sends_left_ = 0;
 
--- a/src/fleet_state/request_description.hpp
+++ b/src/fleet_state/request_description.hpp
@@ -76,6 +76,8 @@
     std::optional<std::string> server_id;
     // Version of the engine's weights.
     std::optional<std::uint64_t> weights;
+    // How much longer the backend server is slow after its start.
+    std::optional<std::chrono::milliseconds> cold_remaining;
 };
 
 // Whether a backend server rejected the request as misdirected because of its
