Bound the memory and descriptors that callers make a host hold

Callers saw: a crowd of connections that each stay inside the limits of one request, most of them stopping short of the end, ended the process over its memory, or took all descriptors.

Cause: nothing summed what connections hold. Bodies were copied for the channel to the server and again when it was slow, responses likewise; buffers that were assigned an empty string kept their capacity while a rejected connection lingered; heads were held twice.

Change: with limits.memory_mb, each connection asks a memory_account for the room of its head, body and response, and is refused with 503 if there is none after those that stand still gave way (docs/design/memory-bounds.md). Large bodies are shared instead of copied, responses of servers wait for room, and callers that read nothing for 15 s are reset. From all but an eighth of limits.descriptors on, silent connections close for new ones.

--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -52,6 +52,8 @@
     static constexpr std::chrono::milliseconds exit_reserve{400};
 
     quarantine_hooks make_quarantine_hooks();
+    // Reserves descriptors for what is not a caller.
+    void set_descriptor_limits();
     void listen_for_signals();
     // Applies the settings file if its text has changed.
     void reload_settings();
@@ -71,6 +73,13 @@
     // is created, or nothing if the request is exempt from the refusal.
     std::optional<std::string> make_early_refusal(
         const net::message_head& head);
+    // Returns the encoded response to a request for which the host has no
+    // memory.
+    std::string make_memory_refusal(const net::message_head& head);
+    // Encodes and reports the refusal of a request before a call is created.
+    std::string encode_early_refusal(const net::message_head& head,
+                                     std::string_view cause,
+                                     base::duration retry_after);
     void on_caller_disconnected(net::caller_connection& caller);
     void on_operator_request(
         const std::shared_ptr<net::caller_connection>& caller,
@@ -105,6 +114,7 @@
     // Random number that tells this process from earlier ones of this host.
     std::uint64_t incarnation_;
     fleet_state::backend_directory servers_;
+    memory_budget::memory_account memory_;
     host_directory hosts_;
     engine_pool engines_;
     backend_pool connection_pool_;
--- a/src/net/message_parser.hpp
+++ b/src/net/message_parser.hpp
@@ -15,6 +15,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "base/http_header.hpp"
 
@@ -86,6 +87,13 @@
     // Why the state is `failed` or `head_too_large`.
     std::string_view error() const { return error_; }
     const message_head& head() const { return head_; }
+    // Returns the head of the complete message, which the parser forgets.
+    message_head take_head() { return std::exchange(head_, {}); }
+    // Memory that the fields take, which is far more than their bytes.
+    std::size_t head_memory() const {
+        return head_.headers.capacity() * sizeof(base::http_header) +
+               2 * head_bytes_;
+    }
 
     // Prepares for the next message. With `response_to_head`, that message is
     // the response to a HEAD request and has no body.
