--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -52,9 +52,11 @@
     static constexpr std::chrono::milliseconds exit_reserve{400};
 
     quarantine_hooks make_quarantine_hooks();
-    // Returns the terms of an engine for `schedule_link::set_cold_terms`.
+    // Reserves descriptors for what is not a caller.
+    void set_descriptor_limits();
     // Returns the number of waiting requests that were moved.
     std::size_t on_evacuation_change(const evacuation::set_change& change);
+    // Returns the terms of an engine for `schedule_link::set_cold_terms`.
     std::optional<cold_start::engine_terms> find_cold_terms(
         std::string_view engine) const;
     bool is_cold(const fleet_state::backend_server& server) const;
@@ -80,6 +82,13 @@
     // is created, or nothing if the request is exempt from the refusal.
     std::optional<std::string> make_early_refusal(
         const net::message_head& head);
+    // Returns the encoded response to a request for which the host has no
+    // memory.
+    std::string make_memory_refusal(const net::message_head& head);
+    // Encodes and reports the refusal of a request before a call is created.
+    std::string encode_early_refusal(const net::message_head& head,
+                                     std::string_view cause,
+                                     base::duration retry_after);
     void on_caller_disconnected(net::caller_connection& caller);
     void on_operator_request(
         const std::shared_ptr<net::caller_connection>& caller,
@@ -114,6 +123,7 @@
     // Random number that tells this process from earlier ones of this host.
     std::uint64_t incarnation_;
     fleet_state::backend_directory servers_;
+    memory_budget::memory_account memory_;
     host_directory hosts_;
     engine_pool engines_;
     backend_pool connection_pool_;
