--- a/src/entry/entry_node_reports.cpp
+++ b/src/entry/entry_node_reports.cpp
@@ -101,6 +101,15 @@
     set("bronzehub_entry_evacuated_domains",
         "Failure domains to which no requests are sent.",
         static_cast<double>(fleet_watch_.evacuated_domains().domains().size()));
+    std::uint32_t evacuated_running = 0;
+    for (const auto& [id, server] : servers_.all()) {
+        if (servers_.is_evacuated(server)) {
+            evacuated_running += backend_status_.find_or_create(id).in_flight;
+        }
+    }
+    set("bronzehub_entry_evacuated_running",
+        "Requests of this host that still run in evacuated failure domains.",
+        evacuated_running);
     set("bronzehub_entry_evacuation_moves",
         "Requests that waited for an engine whose failure domain was "
         "evacuated.",
--- a/src/fleet_state/backend_servers.cpp
+++ b/src/fleet_state/backend_servers.cpp
@@ -148,13 +148,12 @@
                const backend_server& server = entry.second;
                return server.service == service &&
                       server.state == backend_state::available &&
-                      !is_available(server);
+                      is_evacuated(server);
            });
 }
 
 bool backend_directory::is_available(const backend_server& server) const {
-    return server.state == backend_state::available &&
-           !evacuated_domains_.contains(server.failure_domain);
+    return server.state == backend_state::available && !is_evacuated(server);
 }
 
 const backend_server* backend_directory::find_available(
--- a/src/fleet_state/backend_servers.hpp
+++ b/src/fleet_state/backend_servers.hpp
@@ -103,6 +103,10 @@
     // domain is evacuated.
     bool has_evacuated(std::string_view service) const;
 
+    bool is_evacuated(const backend_server& server) const {
+        return evacuated_domains_.contains(server.failure_domain);
+    }
+
     // Returns nullptr for a server that is unknown, draining, removed or in an
     // evacuated failure domain.
     const backend_server* find_available(std::string_view id) const;
