Send the evacuated domains only after a change since the start

A host that read the store at its start took the first set for a change and sent it to all hosts of other domains three times, although they know it: a herd of hosts that starts during an evacuation would have sent many datagrams for nothing.

--- a/src/entry/fleet_watch.cpp
+++ b/src/entry/fleet_watch.cpp
@@ -21,9 +21,6 @@
 // Table of the store in which entry hosts announce themselves.
 constexpr std::string_view host_table = "entry_hosts";
 
-// Source of a change of the evacuated domains that this host read itself.
-constexpr std::string_view from_store = "store";
-
 std::string_view to_string(store_data data) {
     return data == store_data::configuration ? "configuration"
                                              : "backend servers";
@@ -133,8 +130,7 @@
     if (outdated_since_) {
         fetch_newer_configuration();
     } else if (schedule_.is_due(store_data::configuration) ||
-               // The host that forwarded the configuration did not tell which
-               // domains are evacuated.
+               // No other host told which domains are evacuated.
                (configuration_ && !evacuated_.is_known() &&
                 schedule_.may_read(store_data::configuration))) {
         // Only the reader of the failure domain watches for changes. The others
@@ -268,11 +264,16 @@
             domains.emplace(*domain);
         }
     }
-    on_evacuations(
+    // A host that starts reads what the others know already.
+    const bool was_known = evacuated_.is_known();
+    const auto change =
         base_version
             ? evacuated_.on_changes(*base_version, changes, read.version)
-            : evacuated_.on_set(std::move(domains), read.version),
-        from_store);
+            : evacuated_.on_set(std::move(domains), read.version);
+    if (was_known && !change.is_empty()) {
+        evacuation_sends_left_ = evacuation_sends;
+    }
+    on_evacuations(change, "store");
 }
 
 void fleet_watch::on_evacuations(const evacuation::set_change& change,
@@ -296,9 +297,6 @@
                   {field("failure_domain", domain), field("source", source),
                    field("store_version", evacuated_.version())});
     }
-    if (source == from_store) {
-        evacuation_sends_left_ = evacuation_sends;
-    }
 }
 
 void fleet_watch::on_configuration_read(const rows_response& read,
--- a/src/entry/knowledge_relay.cpp
+++ b/src/entry/knowledge_relay.cpp
@@ -244,9 +244,7 @@
 
 void knowledge_relay::send_evacuated_domains() {
     host_message message = make_message(message_type::evacuated_domains);
-    auto& content = message.knowledge.emplace_back();
-    content.evacuated_domains = known_.evacuated_domains;
-    content.evacuation_version = known_.evacuation_version;
+    message.knowledge.push_back(known_);
     const std::string bytes = encode_message(message);
     std::ranges::for_each(hosts_.peers(), [&](const entry_host& host) {
         if (host.failure_domain != hosts_.self().failure_domain) {
--- a/src/entry/schedule_link.hpp
+++ b/src/entry/schedule_link.hpp
@@ -117,9 +117,9 @@
     // accepts connections at the address of the engine.
     void release_unreached(std::uint64_t number);
 
-    // Withdraws the requests of this host that wait for an engine in one of
-    // these failure domains, in the order in which they were made. Each gets a
-    // response that tells that the engine is unreachable. Returns their number.
+    // Withdraws the requests of this host that wait for an engine in these
+    // failure domains, oldest first; the response to each tells that the engine
+    // is unreachable. Returns their number.
     std::size_t withdraw_waiting(
         const std::set<std::string, std::less<>>& failure_domains);
 
--- a/src/entry/schedule_messages.hpp
+++ b/src/entry/schedule_messages.hpp
@@ -263,8 +263,8 @@
     // In a `first_event`: whether the event met its latency target.
     bool in_time = true;
     // At most one entry, in a `knowledge` or a `listing` message respectively.
-    // A `server_leaving` message has a listing with that server only, and an
-    // `evacuated_domains` message a `knowledge_message` with those only.
+    // A `server_leaving` message has a listing with that server only. Of the
+    // knowledge in an `evacuated_domains` message, only those are read.
     std::vector<knowledge_message> knowledge;
     std::vector<listing_message> listing;
     // Failure domain of the sender; read from `hello` and `domain_shares`.
