--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -46,6 +46,8 @@
 // With fewer than 30, the listeners, the store and the log leave no descriptors
 // for the connections of callers.
 constexpr number_range descriptor_range{30, 10'000'000};
+// 0 stands for no limit.
+constexpr number_range memory_mb_range{0, 1'000'000};
 
 }  // namespace
 
@@ -96,6 +98,7 @@
 struct json_schema<entry::entry_limit_settings> {
     static void fields(auto& form, auto& value) {
         form.optional("descriptors", value.descriptors, descriptor_range);
+        form.optional("memory_mb", value.memory_mb, memory_mb_range);
     }
 };
 
--- a/src/entry/entry_settings.hpp
+++ b/src/entry/entry_settings.hpp
@@ -58,6 +58,8 @@
 struct entry_limit_settings {
     // File descriptors that the process may open.
     double descriptors = 1024;
+    // Memory that the process may use, in MiB; 0 if nothing limits it.
+    double memory_mb = 0;
 };
 
 struct entry_hedging_settings {
