Let a channel send a large body without a copy

byte_channel::write copies what the kernel does not accept at once. The new write_shared keeps a reference instead, and a channel that is closed or has sent everything frees its buffers.

--- a/src/net/byte_channel.cpp
+++ b/src/net/byte_channel.cpp
@@ -102,31 +102,67 @@
     start_read();
 }
 
+std::size_t byte_channel::write_some(std::string_view bytes,
+                                     asio::error_code& error) {
+    const std::size_t size =
+        socket_.write_some(asio::buffer(bytes.data(), bytes.size()), error);
+    if (error == asio::error::would_block) {
+        error = {};
+        return 0;
+    }
+    bytes_written_ += size;
+    return size;
+}
+
+std::size_t byte_channel::write_now(std::string_view bytes) {
+    if (unsent_bytes() > 0 || bytes.empty()) {
+        return 0;
+    }
+    asio::error_code error;
+    const std::size_t size = write_some(bytes, error);
+    if (error) {
+        // Reported from the loop, so that `on_closed` does not run within a
+        // call of `write`.
+        paused_ = true;
+        loop_.run_after(base::duration(0), [self = shared_from_this(), error] {
+            self->fail(error);
+        });
+        return bytes.size();
+    }
+    return size;
+}
+
 void byte_channel::write(std::string_view bytes) {
     if (!open_ || closing_) {
         return;
     }
-    if (send_buffer_.empty() && !bytes.empty()) {
-        asio::error_code error;
-        const std::size_t size =
-            socket_.write_some(asio::buffer(bytes.data(), bytes.size()), error);
-        if (error && error != asio::error::would_block) {
-            // Reported from the loop, so that `on_closed` does not run within
-            // a call of `write`.
-            paused_ = true;
-            loop_.run_after(base::duration(0), [self = shared_from_this(),
-                                                error] { self->fail(error); });
-            return;
-        }
-        bytes_written_ += size;
-        bytes.remove_prefix(size);
+    bytes.remove_prefix(write_now(bytes));
+    if (const auto shared = std::exchange(shared_, nullptr)) {
+        // Keeps the order.
+        send_buffer_.append(*shared, shared_offset_);
     }
     send_buffer_.append(bytes);
     wait_writable();
 }
 
+void byte_channel::write_shared(std::shared_ptr<const std::string> bytes) {
+    if (!open_ || closing_) {
+        return;
+    }
+    if (shared_) {
+        write(*bytes);
+        return;
+    }
+    const std::size_t written = write_now(*bytes);
+    if (written < bytes->size()) {
+        shared_ = std::move(bytes);
+        shared_offset_ = written;
+        wait_writable();
+    }
+}
+
 void byte_channel::wait_writable() {
-    if (!open_ || send_buffer_.empty() || write_wait_pending_) {
+    if (!open_ || unsent_bytes() == 0 || write_wait_pending_) {
         return;
     }
     write_wait_pending_ = true;
@@ -142,15 +178,35 @@
 
 void byte_channel::flush() {
     asio::error_code error;
-    const std::size_t size = socket_.write_some(
-        asio::buffer(send_buffer_.data(), send_buffer_.size()), error);
-    if (error && error != asio::error::would_block) {
+    std::size_t sent = 0;
+    if (!send_buffer_.empty()) {
+        sent = write_some(send_buffer_, error);
+        send_buffer_.erase(0, sent);
+        if (send_buffer_.empty()) {
+            // A burst to a slow peer would otherwise be held for good.
+            send_buffer_.shrink_to_fit();
+        }
+    }
+    if (!error && send_buffer_.empty() && shared_) {
+        const std::size_t size = write_some(
+            std::string_view(*shared_).substr(shared_offset_), error);
+        sent += size;
+        shared_offset_ += size;
+        if (shared_offset_ == shared_->size()) {
+            shared_.reset();
+        }
+    }
+    if (error) {
         fail(error);
         return;
     }
-    bytes_written_ += size;
-    send_buffer_.erase(0, size);
-    if (!send_buffer_.empty()) {
+    if (const auto hooks = hooks_; hooks && hooks->on_sent) {
+        hooks->on_sent(sent);
+    }
+    if (!open_) {
+        return;
+    }
+    if (unsent_bytes() > 0) {
         wait_writable();
         return;
     }
@@ -182,6 +238,9 @@
     open_ = false;
     asio::error_code ignored;  // The socket is given up in any case.
     std::ignore = socket_.close(ignored);
+    // Pending operations may keep the channel for a while.
+    send_buffer_ = {};
+    shared_.reset();
     hooks_.reset();
 }
 
@@ -204,7 +263,7 @@
         paused_ = false;
         start_read();
     }
-    if (send_buffer_.empty()) {
+    if (unsent_bytes() == 0) {
         finish_closing();
     }
 }
--- a/src/net/byte_channel.hpp
+++ b/src/net/byte_channel.hpp
@@ -25,6 +25,9 @@
     std::function<void(const asio::error_code&)> on_closed;
     // Called when the kernel has accepted all bytes written. May be empty.
     std::function<void()> on_drained = nullptr;
+    // Called with the number of buffered bytes that the kernel has accepted,
+    // also while the channel is closing. May be empty.
+    std::function<void(std::size_t)> on_sent = nullptr;
 };
 
 // Held by shared pointer: pending operations keep the channel alive until
@@ -41,9 +44,19 @@
 
     // Sends what the kernel accepts immediately and buffers the rest.
     void write(std::string_view bytes);
+    // Does the same without a copy of what the kernel does not accept
+    // immediately. For large bodies.
+    void write_shared(std::shared_ptr<const std::string> bytes);
     // Number of bytes that are buffered because the kernel has not accepted
     // them yet.
-    std::size_t unsent_bytes() const { return send_buffer_.size(); }
+    std::size_t unsent_bytes() const {
+        return send_buffer_.size() +
+               (shared_ ? shared_->size() - shared_offset_ : 0);
+    }
+    // Memory that these bytes take.
+    std::size_t send_memory() const {
+        return send_buffer_.capacity() + (shared_ ? shared_->capacity() : 0);
+    }
     // Number of bytes that the kernel has accepted since the connection was
     // opened.
     std::uint64_t bytes_written() const { return bytes_written_; }
@@ -72,6 +85,11 @@
 private:
     void start_read();
     void on_read(std::string_view first);
+    // Returns how many bytes the kernel has accepted; reports an error.
+    std::size_t write_some(std::string_view bytes, asio::error_code& error);
+    // Writes only if no bytes are buffered. Returns how many bytes need no
+    // buffer.
+    std::size_t write_now(std::string_view bytes);
     void wait_writable();
     void flush();
     void fail(const asio::error_code& error);
@@ -81,6 +99,9 @@
     asio::ip::tcp::socket socket_;
     std::shared_ptr<channel_hooks> hooks_;
     std::string send_buffer_;
+    // Sent after `send_buffer_`, from the offset on.
+    std::shared_ptr<const std::string> shared_;
+    std::size_t shared_offset_ = 0;
     std::uint64_t bytes_written_ = 0;
     bool open_ = true;
     bool paused_ = false;
--- a/src/net/byte_channel_test.cpp
+++ b/src/net/byte_channel_test.cpp
@@ -54,3 +54,41 @@
     CHECK(reads < 10);
     channel->close();
 }
+
+// Guards against bytes that overtake others or are lost when large bodies are
+// sent without a copy.
+TEST_CASE("shared bytes are sent in order") {
+    event_loop loop;
+    tcp::acceptor listener(loop.context(),
+                           {asio::ip::address_v4::loopback(), 0});
+    tcp::socket reader(loop.context());
+    reader.connect(listener.local_endpoint());
+    reader.non_blocking(true);
+    const auto channel =
+        std::make_shared<byte_channel>(loop, listener.accept());
+    channel->start({[](std::string_view) {}, [](const asio::error_code&) {}});
+    constexpr std::size_t body_bytes = std::size_t{8} * 1024 * 1024;
+    std::string expected;
+    for (const char letter : {'a', 'b', 'c'}) {
+        const auto body =
+            std::make_shared<const std::string>(body_bytes, letter);
+        channel->write("head");
+        channel->write_shared(body);
+        expected.append("head").append(*body);
+    }
+    channel->write("end");
+    expected.append("end");
+    std::string received;
+    std::string buffer(std::size_t{1024} * 1024, ' ');
+    while (received.size() < expected.size()) {
+        asio::error_code ignored;  // Nothing to read yet.
+        const std::size_t size =
+            reader.read_some(asio::buffer(buffer), ignored);
+        received.append(buffer, 0, size);
+        loop.context().poll_one();
+    }
+    CHECK(received == expected);
+    CHECK(channel->unsent_bytes() == 0);
+    CHECK(channel->send_memory() < 100);
+    channel->close();
+}
