Bound the memory and descriptors that callers make a host hold

Callers saw: a crowd of connections that each stay inside the limits of one request, most of them stopping short of the end, ended the process over its memory, or took all descriptors.

Cause: nothing summed what connections hold. Bodies were copied for the channel to the server and again when it was slow, responses likewise; buffers that were assigned an empty string kept their capacity while a rejected connection lingered; heads were held twice.

Change: with limits.memory_mb, each connection asks a memory_account for the room of its head, body and response, and is refused with 503 if there is none after those that stand still gave way (docs/design/memory-bounds.md). Large bodies are shared instead of copied, responses of servers wait for room, and callers that read nothing for 15 s are reset. From all but an eighth of limits.descriptors on, silent connections close for new ones.

--- a/src/entry/backend_connection.cpp
+++ b/src/entry/backend_connection.cpp
@@ -57,26 +57,32 @@
 
 std::string encode_request(const outgoing_request& request) {
     std::string bytes;
+    const std::size_t body_bytes =
+        request.shared_body ? request.shared_body->size() : request.body.size();
     bytes.reserve(512 + request.body.size());
     bytes.append(request.method).append(" ").append(request.target);
     bytes.append(" HTTP/1.1\r\n");
     for (const auto& [name, value] : request.headers) {
         bytes.append(name).append(": ").append(value).append("\r\n");
     }
-    const bool has_body = !request.body.empty() || request.method == "POST" ||
+    const bool has_body = body_bytes > 0 || request.method == "POST" ||
                           request.method == "PUT" || request.method == "PATCH";
     if (has_body) {
-        absl::StrAppend(&bytes, "Content-Length: ", request.body.size(),
-                        "\r\n");
+        absl::StrAppend(&bytes, "Content-Length: ", body_bytes, "\r\n");
+    }
+    bytes.append("\r\n");
+    if (!request.shared_body) {
+        bytes.append(request.body);
     }
-    bytes.append("\r\n").append(request.body);
     return bytes;
 }
 
 backend_connection::backend_connection(net::event_loop& loop,
-                                       std::string address)
+                                       std::string address,
+                                       int receive_buffer_bytes)
     : loop_(loop),
       address_(std::move(address)),
+      receive_buffer_bytes_(receive_buffer_bytes),
       parser_(net::message_kind::response, max_response_head_bytes,
               {[this](net::message_head& head) { on_head(head); },
                [this](std::string_view bytes) { on_body(bytes); }}) {}
@@ -92,13 +98,13 @@
     parser_.next(is_head_request_);
     std::string bytes = encode_request(request);
     if (channel_) {
-        write_request(bytes);
+        write_request(bytes, request.shared_body);
     } else {
-        connect(std::move(bytes), request.send_before);
+        connect(std::move(bytes), request.shared_body, request.send_before);
     }
 }
 
-void backend_connection::connect(std::string bytes,
+void backend_connection::connect(std::string bytes, shared_bytes body,
                                  base::time_point send_before) {
     tcp::endpoint endpoint;
     if (!parse_endpoint(address_, endpoint)) {
@@ -120,9 +126,16 @@
     std::ignore = socket->open(endpoint.protocol(), error);
     if (!error) {
         set_failure_detection(*socket);
+        if (receive_buffer_bytes_ > 0) {
+            asio::error_code ignored;  // The kernel chooses a size then.
+            std::ignore = socket->set_option(
+                asio::socket_base::receive_buffer_size(receive_buffer_bytes_),
+                ignored);
+        }
     }
     socket->async_connect(endpoint, [self = shared_from_this(), socket, timer,
-                                     send_before, bytes = std::move(bytes)](
+                                     send_before, bytes = std::move(bytes),
+                                     body = std::move(body)](
                                         const asio::error_code& failed) {
         self->loop_.cancel(timer);
         if (self->connecting_socket_ != socket) {
@@ -137,22 +150,27 @@
             return;
         }
         self->connecting_socket_.reset();
-        self->on_connected(std::move(*socket), bytes);
+        self->on_connected(std::move(*socket), bytes, body);
     });
 }
 
 void backend_connection::on_connected(tcp::socket socket,
-                                      const std::string& bytes) {
+                                      const std::string& bytes,
+                                      shared_bytes body) {
     channel_ = std::make_shared<net::byte_channel>(loop_, std::move(socket));
     channel_->start(
         {[this](std::string_view received) { on_bytes(received); },
          [this](const asio::error_code& error) { on_closed(error); }});
-    write_request(bytes);
+    write_request(bytes, std::move(body));
 }
 
-void backend_connection::write_request(std::string_view bytes) {
+void backend_connection::write_request(std::string_view bytes,
+                                       shared_bytes body) {
     bytes_written_before_ = channel_->bytes_written();
     channel_->write(bytes);
+    if (body) {
+        channel_->write_shared(std::move(body));
+    }
 }
 
 void backend_connection::on_bytes(std::string_view bytes) {
--- a/src/entry/backend_connection.hpp
+++ b/src/entry/backend_connection.hpp
@@ -51,19 +51,24 @@
     std::string target;
     base::http_headers headers;
     std::string_view body;
+    // If set, sent instead of `body` without a copy. For large bodies.
+    std::shared_ptr<const std::string> shared_body = nullptr;
     // If the connection is not established by then, nothing is sent.
     base::time_point send_before = base::time_point::max();
 };
 
 // Encodes the head and body of a request, with a Content-Length field if the
-// method has a body.
+// method has a body. A shared body is left out.
 std::string encode_request(const outgoing_request& request);
 
 // Not thread-safe. Held by shared pointer.
 class backend_connection
     : public std::enable_shared_from_this<backend_connection> {
 public:
-    backend_connection(net::event_loop& loop, std::string address);
+    // With `receive_buffer_bytes` other than 0, limits what the kernel buffers
+    // while the connection is not read.
+    backend_connection(net::event_loop& loop, std::string address,
+                       int receive_buffer_bytes = 0);
     backend_connection(const backend_connection&) = delete;
     backend_connection& operator=(const backend_connection&) = delete;
     ~backend_connection() { close(); }
@@ -104,9 +109,13 @@
     }
 
 private:
-    void connect(std::string bytes, base::time_point send_before);
-    void on_connected(asio::ip::tcp::socket socket, const std::string& bytes);
-    void write_request(std::string_view bytes);
+    using shared_bytes = std::shared_ptr<const std::string>;
+
+    void connect(std::string bytes, shared_bytes body,
+                 base::time_point send_before);
+    void on_connected(asio::ip::tcp::socket socket, const std::string& bytes,
+                      shared_bytes body);
+    void write_request(std::string_view bytes, shared_bytes body);
     void on_bytes(std::string_view bytes);
     void on_closed(const asio::error_code& error);
     void on_head(net::message_head& head);
@@ -117,6 +126,7 @@
 
     net::event_loop& loop_;
     std::string address_;
+    int receive_buffer_bytes_;
     std::shared_ptr<net::byte_channel> channel_;
     std::shared_ptr<asio::ip::tcp::socket> connecting_socket_;
     net::message_parser parser_;
--- a/src/entry/backend_pool.cpp
+++ b/src/entry/backend_pool.cpp
@@ -43,7 +43,8 @@
         return connection;
     }
     ++opened_count_;
-    return std::make_shared<backend_connection>(loop_, address);
+    return std::make_shared<backend_connection>(loop_, address,
+                                                receive_buffer_bytes_);
 }
 
 void backend_pool::release(const std::string& instance,
--- a/src/entry/backend_pool.hpp
+++ b/src/entry/backend_pool.hpp
@@ -32,7 +32,8 @@
     // Idle connections that are kept for each server instance.
     static constexpr std::size_t max_idle_per_instance = 16;
 
-    explicit backend_pool(net::event_loop& loop) : loop_(loop) {}
+    explicit backend_pool(net::event_loop& loop, int receive_buffer_bytes = 0)
+        : loop_(loop), receive_buffer_bytes_(receive_buffer_bytes) {}
 
     // Returns an idle connection, or a new one that connects when it is first
     // used. `instance` is the `instance_name` of the backend server.
@@ -65,6 +66,7 @@
     bool is_usable(const backend_connection& connection, bool idempotent) const;
 
     net::event_loop& loop_;
+    int receive_buffer_bytes_;
     // By instance name; the most recently used connection is last.
     std::map<std::string, std::deque<std::shared_ptr<backend_connection>>>
         idle_;
--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -22,6 +22,10 @@
 constexpr milliseconds configuration_retry_after{1000};
 constexpr milliseconds draining_retry_after{100};
 
+// A larger body is sent without a copy; a smaller one is sent together with the
+// head, in one system call.
+constexpr std::size_t max_copied_body_bytes = std::size_t{16} * 1024;
+
 constexpr int first_redirection = 300;
 constexpr int unauthorised = 401;
 constexpr int not_found = 404;
@@ -290,7 +294,12 @@
     outgoing.target = request_.target;
     outgoing.headers =
         platform_wire::encode_forwarded_headers(request_.headers, metadata);
+    if (request_.body.size() > max_copied_body_bytes) {
+        large_body_ = std::make_shared<const std::string>(
+            std::exchange(request_.body, {}));
+    }
     outgoing.body = request_.body;
+    outgoing.shared_body = large_body_;
     outgoing.send_before = target.send_before;
     const auto connection = target.connection;
     const auto self = shared_from_this();
@@ -503,7 +512,14 @@
             duration_cast<milliseconds>(environment_.loop.now() -
                                         request_.arrived_at)
                 .count();
-        caller_->respond(attempt_->status, attempt_->headers, attempt_->body);
+        if (attempt_->body.size() > max_copied_body_bytes) {
+            caller_->respond_shared(attempt_->status, attempt_->headers,
+                                    std::make_shared<const std::string>(
+                                        std::exchange(attempt_->body, {})));
+        } else {
+            caller_->respond(attempt_->status, attempt_->headers,
+                             attempt_->body);
+        }
     }
     finish(call_outcome::delivered, "");
 }
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -139,6 +139,10 @@
         // Events that earlier attempts relayed.
         std::uint64_t earlier_events = 0;
         std::size_t max_body_bytes = 0;
+        // Part of the body for which there is memory.
+        std::size_t reserved_bytes = 0;
+        // Reading waits for memory.
+        bool waits_for_memory = false;
     };
 
     // Whether the host accepts the request. Counts an accepted request.
@@ -232,6 +236,11 @@
     void on_server_state(const fleet_state::backend_server& server, int status,
                          const fleet_state::response_description& description);
     void on_body(std::string_view bytes);
+    // Reserves memory for a response that is delivered as a whole. If there is
+    // none, stops reading the response and tries again later.
+    void reserve_response(attempt& current, std::size_t bytes);
+    // Adds a part of the body to a response that is delivered as a whole.
+    void append_body(attempt& current, std::string_view bytes);
     void relay_events(std::string_view bytes);
     // Postpones the next read of the stream while the host is overloaded, so
     // that several events are relayed at once.
@@ -277,6 +286,8 @@
     call_environment& environment_;
     std::shared_ptr<net::caller_connection> caller_;
     net::caller_request request_;
+    // A large body, which is moved out of `request_` when it is sent.
+    std::shared_ptr<const std::string> large_body_;
     std::function<void(call*)> on_end_;
     fleet_state::request_description description_;
     fleet_state::configuration_pointer configuration_;
--- a/src/entry/call_response.cpp
+++ b/src/entry/call_response.cpp
@@ -1,4 +1,5 @@
 // Member functions of `call` that handle the response of a backend server.
+#include <algorithm>
 #include <utility>
 
 #include "entry/call.hpp"
@@ -8,6 +9,7 @@
 namespace bronzehub::entry {
 namespace {
 
+using memory_budget::memory_cause;
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 using seconds = std::chrono::duration<double>;
@@ -15,6 +17,13 @@
 // Unsent bytes to a slow caller from which on its backend server is not read.
 constexpr std::size_t max_unsent_bytes = std::size_t{256} * 1024;
 
+// Responses up to this size are read without asking for memory.
+constexpr std::size_t unreserved_response_bytes = std::size_t{8} * 1024;
+// Delay before another attempt to get memory for a response.
+constexpr milliseconds memory_retry_delay{20};
+// What the kernel may hold for a backend server that is not read.
+constexpr std::size_t unread_response_bytes = std::size_t{128} * 1024;
+
 constexpr int ok = 200;
 constexpr int misdirected = 421;
 constexpr int service_unavailable = 503;
@@ -92,10 +101,45 @@
     current.max_body_bytes = max_body_bytes(properties);
     if (const std::string error = head_error(properties); !error.empty()) {
         current.connection->fail_exchange(error);
+    } else if (!current.is_stream &&
+               head.content_length > unreserved_response_bytes) {
+        reserve_response(current,
+                         static_cast<std::size_t>(*head.content_length));
     }
     return true;
 }
 
+void call::reserve_response(attempt& current, std::size_t bytes) {
+    auto& memory = caller_->memory();
+    const auto& other =
+        is_second(current.connection.get()) ? attempt_ : second_;
+    if (memory.try_set(memory_cause::responses,
+                       bytes + (other ? other->reserved_bytes : 0))) {
+        current.reserved_bytes = bytes;
+        current.body.reserve(bytes);
+        if (std::exchange(current.waits_for_memory, false)) {
+            memory.set(memory_cause::unread, 0);
+            current.connection->resume_reading();
+        }
+        return;
+    }
+    if (!std::exchange(current.waits_for_memory, true)) {
+        memory.on_denied(memory_cause::responses);
+        memory.set(memory_cause::unread, unread_response_bytes);
+    }
+    current.connection->pause_reading();
+    environment_.pacer.defer(
+        memory_retry_delay,
+        [self = shared_from_this(), connection = current.connection, bytes] {
+            auto& waiting = self->is_second(connection.get()) ? self->second_
+                                                              : self->attempt_;
+            if (!self->ended_ && waiting && waiting->connection == connection &&
+                !connection->is_closed()) {
+                self->reserve_response(*waiting, bytes);
+            }
+        });
+}
+
 void call::on_body(std::string_view bytes) {
     if (!attempt_ || ended_) {
         return;
@@ -104,18 +148,28 @@
         relay_events(bytes);
         return;
     }
-    if (attempt_->body.size() + bytes.size() > attempt_->max_body_bytes) {
+    append_body(*attempt_, bytes);
+}
+
+void call::append_body(attempt& current, std::string_view bytes) {
+    if (current.body.size() + bytes.size() > current.max_body_bytes) {
         // Frees the buffer, as the next attempt may have to wait.
-        attempt_->body = {};
-        attempt_->connection->fail_exchange(
-            body_limit_error(attempt_->max_body_bytes));
+        std::string().swap(current.body);
+        current.connection->fail_exchange(
+            body_limit_error(current.max_body_bytes));
         return;
     }
-    attempt_->body.append(bytes);
+    current.body.append(bytes);
+    const std::size_t size = current.body.size();
+    if (size > unreserved_response_bytes && size > current.reserved_bytes &&
+        !current.waits_for_memory) {
+        reserve_response(current, std::min(2 * size, current.max_body_bytes));
+    }
 }
 
 void call::relay_events(std::string_view bytes) {
     const std::string_view events = relay_.feed(bytes);
+    caller_->memory().set(memory_cause::responses, relay_.buffer_memory());
     if (relay_.failed()) {
         attempt_->connection->fail_exchange(relay_.error());
     }
@@ -148,9 +202,12 @@
     caller_->write_body(events);
     if (caller_->unsent_bytes() > max_unsent_bytes) {
         attempt_->connection->pause_reading();
-        caller_->on_drained([connection = attempt_->connection] {
-            connection->resume_reading();
-        });
+        caller_->memory().set(memory_cause::unread, unread_response_bytes);
+        caller_->on_drained(
+            [caller = caller_.get(), connection = attempt_->connection] {
+                caller->memory().set(memory_cause::unread, 0);
+                connection->resume_reading();
+            });
     } else if (!is_first) {
         pace_reading();
     }
--- a/src/entry/call_second_attempt.cpp
+++ b/src/entry/call_second_attempt.cpp
@@ -146,12 +146,7 @@
         on_body(bytes);
         return;
     }
-    if (second_->body.size() + bytes.size() > second_->max_body_bytes) {
-        second_->connection->fail_exchange(
-            body_limit_error(second_->max_body_bytes));
-        return;
-    }
-    second_->body.append(bytes);
+    append_body(*second_, bytes);
 }
 
 void call::on_second_end(exchange_result result, std::string_view reason) {
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -41,6 +41,18 @@
 constexpr milliseconds notification_margin{1500};
 
 constexpr double percent = 100;
+constexpr double bytes_per_mib = 1024 * 1024;
+// What the kernel may buffer for a backend server that is not read because its
+// caller reads slowly.
+constexpr int backend_receive_buffer_bytes = 128 * 1024;
+// Descriptors for backend servers, the store, other hosts and files. A call
+// needs a connection to a backend server besides that of its caller, but most
+// connections of callers are idle.
+constexpr double descriptor_reserve_ratio = 1.0 / 8;
+constexpr double min_descriptor_reserve = 16;
+constexpr double max_descriptor_reserve = 512;
+// A caller that reads nothing for so long is cut off.
+constexpr milliseconds slow_reader_timeout{15000};
 
 constexpr int ok_status = 200;
 constexpr int not_found_status = 404;
@@ -96,6 +108,15 @@
     return text.str();
 }
 
+// Returns the resident bytes of this process; 0 if they can't be read.
+std::size_t resident_bytes() {
+    std::ifstream file("/proc/self/statm");
+    std::size_t total_pages = 0;
+    std::size_t resident_pages = 0;
+    file >> total_pages >> resident_pages;
+    return resident_pages * static_cast<std::size_t>(getpagesize());
+}
+
 // Hooks of a listener for the platform or for operators, which has the default
 // limits and is not subject to admission.
 net::caller_hooks make_internal_hooks(
@@ -120,11 +141,15 @@
       log_({parse_log_level(settings_.log.level), {}}, log_writer_.sink()),
       incarnation_(random_incarnation()),
       servers_({}, loop_.clock()),
+      memory_(memory_budget::limits_for(static_cast<std::size_t>(
+                  settings_.limits.memory_mb * bytes_per_mib)),
+              loop_.clock()),
       hosts_({settings_.host.name, settings_.listeners.peers,
               settings_.host.failure_domain},
              loop_.clock()),
       engines_(servers_),
-      connection_pool_(loop_),
+      connection_pool_(loop_,
+                       memory_.is_limited() ? backend_receive_buffer_bytes : 0),
       backend_status_(loop_.clock()),
       warmth_(loop_.clock()),
       retry_window_({settings_.bounds.retry_ratio, settings_.bounds.retry_extra,
@@ -209,7 +234,7 @@
            settings_.host.failure_domain},
           hedging_},
       caller_listener_(
-          loop_,
+          loop_, memory_,
           {[this](const std::shared_ptr<net::caller_connection>& caller,
                   net::caller_request request) {
                on_request(caller, std::move(request));
@@ -232,13 +257,17 @@
            [this] { return !admission_.should_refuse_next(); },
            [this](const net::message_head& head) {
                return make_early_refusal(head);
+           },
+           [this](const net::message_head& head) {
+               return make_memory_refusal(head);
            }}),
       readiness_listener_(
-          loop_, make_internal_hooks([this](const auto& caller, const auto&) {
+          loop_, memory_,
+          make_internal_hooks([this](const auto& caller, const auto&) {
               on_readiness_request(caller);
           })),
       operator_listener_(
-          loop_,
+          loop_, memory_,
           make_internal_hooks([this](const auto& caller, const auto& request) {
               on_operator_request(caller, request);
           })),
@@ -336,6 +365,7 @@
             return status;
         }
     }
+    set_descriptor_limits();
     listen_for_signals();
     fleet_watch_.start();
     loop_.run_every(log_flush_interval, [this] { log_writer_.flush(); });
@@ -352,6 +382,19 @@
     return absl::OkStatus();
 }
 
+void entry_node::set_descriptor_limits() {
+    const double descriptors = settings_.limits.descriptors;
+    const double reserve =
+        std::clamp(descriptors * descriptor_reserve_ratio,
+                   min_descriptor_reserve, max_descriptor_reserve);
+    caller_listener_.set_max_descriptors(
+        static_cast<int>(descriptors - reserve));
+    // The platform and operators must get through while callers occupy theirs.
+    const int max_internal = static_cast<int>(descriptors - reserve / 2);
+    readiness_listener_.set_max_descriptors(max_internal);
+    operator_listener_.set_max_descriptors(max_internal);
+}
+
 int entry_node::run() {
     loop_.run();
     log_.info("stopped", {field("calls_left", calls_.size())});
@@ -545,12 +588,27 @@
         }
         count_host_refusal(call_environment_, *configuration, request);
     }
+    return encode_early_refusal(head, host_overloaded, overloaded_retry_after);
+}
+
+std::string entry_node::make_memory_refusal(const net::message_head& head) {
+    if (const auto& configuration = fleet_watch_.configuration()) {
+        count_host_refusal(share_meter_, *configuration,
+                           platform_wire::describe_request(head.headers));
+    }
+    return encode_early_refusal(head, "no memory for the request",
+                                memory_.limits().stall_time);
+}
+
+std::string entry_node::encode_early_refusal(const net::message_head& head,
+                                             std::string_view cause,
+                                             base::duration retry_after) {
     call_report report;
-    report.request_id = request.id;
-    const refusal response = make_refusal(report.request_id, host_overloaded,
-                                          overloaded_retry_after);
+    report.request_id = platform_wire::describe_request(head.headers).id;
+    const refusal response =
+        make_refusal(report.request_id, cause, retry_after);
     report.outcome = call_outcome::refused;
-    report.cause = host_overloaded;
+    report.cause = cause;
     report.status = response.status;
     report.retry_after_ms = response.retry_after.count();
     call_reporter_.on_call(report);
@@ -626,6 +684,10 @@
     connection_pool_.reap();
     // Forgets the connections that have closed.
     caller_listener_.has_unsent_responses();
+    if (memory_.is_limited()) {
+        memory_.on_resident_bytes(resident_bytes());
+        caller_listener_.cut_off_slow_readers(slow_reader_timeout);
+    }
     segment_demand_.prune();
     share_meter_.prune();
     admission_.prune();
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -61,6 +61,8 @@
     // Number of listed servers that may be cold.
     std::size_t count_cold_servers() const;
     void log_cold_servers();
+    // Reserves descriptors for what is not a caller.
+    void set_descriptor_limits();
     void listen_for_signals();
     // Applies the settings file if its text has changed.
     void reload_settings();
@@ -80,6 +82,13 @@
     // is created, or nothing if the request is exempt from the refusal.
     std::optional<std::string> make_early_refusal(
         const net::message_head& head);
+    // Returns the encoded response to a request for which the host has no
+    // memory.
+    std::string make_memory_refusal(const net::message_head& head);
+    // Encodes and reports the refusal of a request before a call is created.
+    std::string encode_early_refusal(const net::message_head& head,
+                                     std::string_view cause,
+                                     base::duration retry_after);
     void on_caller_disconnected(net::caller_connection& caller);
     void on_operator_request(
         const std::shared_ptr<net::caller_connection>& caller,
@@ -114,6 +123,7 @@
     // Random number that tells this process from earlier ones of this host.
     std::uint64_t incarnation_;
     fleet_state::backend_directory servers_;
+    memory_budget::memory_account memory_;
     host_directory hosts_;
     engine_pool engines_;
     backend_pool connection_pool_;
--- a/src/entry/event_relay.cpp
+++ b/src/entry/event_relay.cpp
@@ -7,6 +7,8 @@
 namespace bronzehub::entry {
 namespace {
 
+// A buffer that held more than this is freed when it is not needed.
+constexpr std::size_t max_kept_bytes = std::size_t{16} * 1024;
 constexpr std::string_view event_separator = "\n\n";
 constexpr std::string_view id_field = "id:";
 constexpr std::string_view data_field = "data:";
@@ -72,6 +74,9 @@
 }
 
 std::string_view event_relay::feed(std::string_view bytes) {
+    if (complete_events_.capacity() > max_kept_bytes) {
+        std::string().swap(complete_events_);
+    }
     complete_events_.clear();
     if (failed()) {
         return complete_events_;
@@ -92,12 +97,15 @@
         end = partial_event_.find(event_separator, begin);
     }
     partial_event_.erase(0, begin);
+    if (partial_event_.empty() && partial_event_.capacity() > max_kept_bytes) {
+        std::string().swap(partial_event_);
+    }
     if (partial_event_.size() > max_event_bytes) {
         fail(absl::StrCat("event over ", max_event_bytes, " bytes"));
     }
     if (failed()) {
         // Frees the buffer, as the next server may start sending much later.
-        partial_event_ = {};
+        std::string().swap(partial_event_);
     }
     return complete_events_;
 }
--- a/src/entry/event_relay.hpp
+++ b/src/entry/event_relay.hpp
@@ -45,6 +45,10 @@
     std::uint64_t event_count() const { return event_count_; }
     // Whether the last event is still incomplete.
     bool has_partial_event() const { return !partial_event_.empty(); }
+    // Memory that the buffers take.
+    std::size_t buffer_memory() const {
+        return partial_event_.capacity() + complete_events_.capacity();
+    }
     // Why the current server's stream is unusable; empty while it is usable.
     // After an error, `feed` ignores all bytes until `switch_server`.
     std::string_view error() const { return error_; }
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -1,6 +1,7 @@
 // bronzehub-entryd: the entry daemon for a platform that has its own service
 // registry, configuration and store.
 #include <docopt.h>
+#include <malloc.h>
 
 #include <csignal>
 #include <cstdlib>
@@ -31,6 +32,9 @@
 Exit codes: 0 done, 1 failed, 2 usage error, 4 invalid settings.
 )";
 
+// Larger blocks are returned to the system when they are freed.
+constexpr int mmap_threshold_bytes = 128 * 1024;
+
 constexpr int exit_failed = 1;
 constexpr int exit_invalid_settings = 4;
 
@@ -48,6 +52,11 @@
     if (arguments.at("--check").asBool()) {
         return 0;
     }
+    if (settings->limits.memory_mb > 0) {
+        // By default, glibc raises the threshold to the largest block freed so
+        // far. Bodies would then fragment the heap, which is never returned.
+        mallopt(M_MMAP_THRESHOLD, mmap_threshold_bytes);
+    }
     bronzehub::entry::entry_node node(*settings, path);
     if (!node.start().ok()) {
         return exit_failed;
--- a/src/memory_budget/memory_account.cpp
+++ b/src/memory_budget/memory_account.cpp
@@ -15,6 +15,9 @@
 // The rest of the memory is lost to rounding and fragmentation.
 constexpr double usable_fraction = 0.75;
 constexpr double large_fraction = 0.75;
+// Part of its memory that the process uses at most; the rest is for what it
+// allocates until it is measured again.
+constexpr double max_process_fraction = 0.9;
 // The least size of an account, for a few requests of the largest body size.
 constexpr std::size_t min_account_bytes = std::size_t{16} * 1024 * 1024;
 
@@ -40,12 +43,27 @@
         std::max(min_reserve_bytes, scaled(memory_bytes, reserve_fraction));
     const std::size_t rest =
         memory_bytes > reserve ? memory_bytes - reserve : 0;
+    limits.process_bytes = memory_bytes;
     limits.total_bytes =
         std::max(min_account_bytes, scaled(rest, usable_fraction));
     limits.large_bytes = scaled(limits.total_bytes, large_fraction);
     return limits;
 }
 
+void memory_account::on_resident_bytes(std::size_t resident_bytes) {
+    if (!is_limited()) {
+        return;
+    }
+    const std::size_t uncounted =
+        resident_bytes > total_ ? resident_bytes - total_ : 0;
+    const std::size_t usable =
+        scaled(limits_.process_bytes, max_process_fraction);
+    const std::size_t rest = usable > uncounted ? usable - uncounted : 0;
+    limits_.total_bytes = std::min(initial_limits_.total_bytes,
+                                   std::max(min_account_bytes, rest));
+    limits_.large_bytes = scaled(limits_.total_bytes, large_fraction);
+}
+
 void memory_account::change(memory_holder& holder, memory_cause cause,
                             std::size_t bytes) {
     auto& held = holder.by_cause_[static_cast<std::size_t>(cause)];
@@ -138,7 +156,6 @@
     const std::size_t held = held_for(cause);
     if (bytes > held && !account_.has_room(*this, bytes - held) &&
         !account_.make_room(*this, bytes - held)) {
-        ++account_.denied_[static_cast<std::size_t>(cause)];
         return false;
     }
     set(cause, bytes);
@@ -171,7 +188,7 @@
 }
 
 bool memory_holder::has_stalled() const {
-    return account_.clock_.now() - moved_at_ >= account_.limits_.stall_time;
+    return still_for() >= account_.limits_.stall_time;
 }
 
 }  // namespace bronzehub::memory_budget
--- a/src/memory_budget/memory_account.hpp
+++ b/src/memory_budget/memory_account.hpp
@@ -44,6 +44,8 @@
     static constexpr std::size_t unlimited =
         std::numeric_limits<std::size_t>::max();
 
+    // What the whole process may use.
+    std::size_t process_bytes = unlimited;
     std::size_t total_bytes = unlimited;
     // Part of the total for holders of more than `small_bytes`. The rest is
     // left to small requests.
@@ -68,10 +70,13 @@
 class memory_account {
 public:
     memory_account(memory_limits limits, base::clock clock)
-        : limits_(limits), clock_(std::move(clock)) {}
+        : initial_limits_(limits), limits_(limits), clock_(std::move(clock)) {}
     memory_account(const memory_account&) = delete;
     memory_account& operator=(const memory_account&) = delete;
 
+    bool is_limited() const {
+        return limits_.total_bytes != memory_limits::unlimited;
+    }
     std::size_t held_bytes() const { return total_; }
     std::size_t held_bytes(memory_cause cause) const {
         return by_cause_[static_cast<std::size_t>(cause)];
@@ -84,6 +89,11 @@
     std::uint64_t given_way_count() const { return given_way_; }
     const memory_limits& limits() const { return limits_; }
 
+    // Lowers the limits while the rest of the process takes more than what was
+    // reserved for it. Must be called now and then with the resident bytes of
+    // the process.
+    void on_resident_bytes(std::size_t resident_bytes);
+
 private:
     friend class memory_holder;
 
@@ -98,6 +108,8 @@
     memory_holder* find_yielding(const memory_holder& asker,
                                  bool stalled_only) const;
 
+    // As given, and as lowered.
+    memory_limits initial_limits_;
     memory_limits limits_;
     base::clock clock_;
     std::vector<memory_holder*> holders_;
@@ -148,6 +160,14 @@
     std::size_t held_for(memory_cause cause) const {
         return by_cause_[static_cast<std::size_t>(cause)];
     }
+    // Counts a request for memory that was denied for good.
+    void on_denied(memory_cause cause) {
+        ++account_.denied_[static_cast<std::size_t>(cause)];
+    }
+    // Time since enough of what is held moved.
+    base::duration still_for() const {
+        return account_.clock_.now() - moved_at_;
+    }
     bool has_stalled() const;
 
 private:
--- a/src/net/byte_channel.cpp
+++ b/src/net/byte_channel.cpp
@@ -239,7 +239,7 @@
     asio::error_code ignored;  // The socket is given up in any case.
     std::ignore = socket_.close(ignored);
     // Pending operations may keep the channel for a while.
-    send_buffer_ = {};
+    std::string().swap(send_buffer_);
     shared_.reset();
     hooks_.reset();
 }
--- a/src/net/caller_connection.hpp
+++ b/src/net/caller_connection.hpp
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "base/http_header.hpp"
+#include "memory_budget/memory_account.hpp"
 #include "net/byte_channel.hpp"
 #include "net/message_parser.hpp"
 
@@ -35,6 +36,11 @@
     std::chrono::milliseconds idle_timeout{15000};
 };
 
+// What the kernel may buffer for a connection that is not read at the moment,
+// if the memory of the host is limited. Suffices for a caller that sends at
+// 10 MB/s over 5 ms.
+constexpr int caller_receive_buffer_bytes = 64 * 1024;
+
 class caller_connection;
 
 // Callbacks and policies of a listener, which all its connections share.
@@ -60,6 +66,10 @@
     // nothing if the head of the request exempts it from the refusal.
     std::function<std::optional<std::string>(const message_head&)>
         make_refusal_response = nullptr;
+    // Returns the encoded response to a request for which there is no memory.
+    // The head may be incomplete. If empty, a minimal response is sent.
+    std::function<std::string(const message_head&)> make_memory_refusal =
+        nullptr;
 };
 
 // Not thread-safe. Held by shared pointer.
@@ -67,6 +77,7 @@
     : public std::enable_shared_from_this<caller_connection> {
 public:
     caller_connection(event_loop& loop, asio::ip::tcp::socket socket,
+                      memory_budget::memory_account& account,
                       std::shared_ptr<const caller_hooks> hooks);
 
     // Starts reading. `received` holds bytes already read from the socket.
@@ -82,6 +93,9 @@
     // Sends a complete response. Framing fields in `headers` are ignored.
     void respond(int status, const base::http_headers& headers,
                  std::string_view body);
+    // Does the same without a copy of the body.
+    void respond_shared(int status, const base::http_headers& headers,
+                        std::shared_ptr<const std::string> body);
 
     // Closes the connection after the current response.
     void close_after_response() { keep_alive_ = false; }
@@ -99,6 +113,18 @@
     // Closes the connection if no request is active.
     void close_if_idle();
 
+    // Closes the connection at once if no request is active. An incomplete
+    // request is answered as timed out.
+    void close_for_descriptors();
+    // Resets the connection if the caller has not read its response for as long
+    // as `limit`.
+    void cut_off_slow_reader(base::duration limit);
+
+    // What the connection holds, to which the handler of the request adds.
+    memory_budget::memory_holder& memory() { return memory_; }
+    // When bytes were last received, or when the connection was accepted.
+    base::time_point last_input_at() const { return last_input_at_; }
+
     bool is_open() const { return channel_->is_open(); }
     // Whether a complete request has arrived whose response has not ended.
     bool has_active_request() const { return request_active_; }
@@ -132,6 +158,25 @@
     void on_request_complete();
     void on_channel_closed();
     void reject(int status);
+    void reject_for_memory(memory_budget::memory_cause cause);
+    // Sends a response, frees the request and closes the connection.
+    void reject_with(std::string_view response);
+    // Whether there is memory for the fields that have arrived.
+    bool has_memory_for_head();
+    // Reserves memory for a body of `size` bytes. Rejects the request if there
+    // is none.
+    void reserve_body(std::size_t size);
+    // Releases the memory for another connection.
+    void give_way();
+    void free_buffers();
+    // Closes the connection at once, without the rest of a response.
+    void reset();
+    // Records the bytes that the kernel has not accepted.
+    void update_unsent();
+    // Encodes the head of a complete response.
+    std::string encode_response_start(int status,
+                                      const base::http_headers& headers,
+                                      std::size_t body_size) const;
     void end_request();
     byte_channel::unread_bytes unread_bytes() const;
     void arm_timeout(base::duration delay);
@@ -148,6 +193,8 @@
     caller_request request_;
     // Bytes received before the end of the current response.
     std::string pipelined_bytes_;
+    memory_budget::memory_holder memory_;
+    base::time_point last_input_at_;
     std::function<void()> on_drained_;
     // Runs when a request or the rest of one has not arrived in time.
     std::optional<base::timer_id> timeout_timer_;
--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <asio/ip/address.hpp>
 #include <cerrno>
+#include <cstddef>
+#include <iterator>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -23,13 +25,19 @@
 // kernel's queue do not count as lateness of the loop: their callers would time
 // out without the host noticing its overload.
 constexpr std::size_t max_accepts_per_wakeup = 64;
+// Connections that are closed together for new ones, so that few of them cause
+// a search through all connections.
+constexpr std::size_t max_closed_at_once = 8;
 // Delay after a failed accept, for example when no descriptors are left.
 constexpr std::chrono::milliseconds accept_retry_delay{50};
 
 }  // namespace
 
-http_listener::http_listener(event_loop& loop, caller_hooks hooks)
+http_listener::http_listener(event_loop& loop,
+                             memory_budget::memory_account& account,
+                             caller_hooks hooks)
     : loop_(loop),
+      account_(account),
       acceptor_(loop.context()),
       refusal_parser_(message_kind::request, listener_limits{}.max_header_bytes,
                       {[](message_head&) {}, [](std::string_view) {}}) {
@@ -65,6 +73,13 @@
             acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
         std::ignore = acceptor_.bind(endpoint, error);
     }
+    if (!error && account_.is_limited()) {
+        // Inherited by the connections.
+        asio::error_code ignored;  // The kernel chooses a size then.
+        std::ignore = acceptor_.set_option(
+            asio::socket_base::receive_buffer_size(caller_receive_buffer_bytes),
+            ignored);
+    }
     if (!error) {
         std::ignore = acceptor_.non_blocking(true, error);
     }
@@ -109,7 +124,15 @@
             continue;  // The caller disconnected before the accept.
         }
         if (descriptor < 0) {
-            return errno == EAGAIN;
+            return errno == EAGAIN ||
+                   (errno == EMFILE && close_silent_connections());
+        }
+        // The kernel assigns the lowest free number, so at least as many
+        // descriptors are open.
+        if (descriptor >= max_descriptors_ && !close_silent_connections()) {
+            ++descriptor_closures_;
+            close(descriptor);
+            continue;
         }
         if (!hooks_->admits_first_request || hooks_->admits_first_request()) {
             add_connection(descriptor, {}, true);
@@ -132,8 +155,8 @@
         close(descriptor);
         return;
     }
-    auto connection =
-        std::make_shared<caller_connection>(loop_, std::move(socket), hooks_);
+    auto connection = std::make_shared<caller_connection>(
+        loop_, std::move(socket), account_, hooks_);
     connections_.insert(connection);
     if (admitted) {
         connection->admit_next_request();
@@ -177,6 +200,39 @@
     return false;
 }
 
+bool http_listener::close_silent_connections() {
+    std::vector<std::shared_ptr<caller_connection>> silent;
+    std::ranges::copy_if(connections_, std::back_inserter(silent),
+                         [](const auto& connection) {
+                             return !connection->has_active_request();
+                         });
+    const std::size_t count = std::min(max_closed_at_once, silent.size());
+    std::ranges::partial_sort(
+        silent, silent.begin() + static_cast<std::ptrdiff_t>(count), {},
+        [](const auto& connection) { return connection->last_input_at(); });
+    silent.resize(count);
+    std::ranges::for_each(silent, [](const auto& connection) {
+        connection->close_for_descriptors();
+    });
+    descriptor_closures_ += count;
+    return count > 0;
+}
+
+void http_listener::cut_off_slow_readers(base::duration limit) {
+    std::vector<std::shared_ptr<caller_connection>> unread;
+    const auto add = [&unread](const auto& connection) {
+        if (connection && connection->unsent_bytes() > 0) {
+            unread.push_back(connection);
+        }
+    };
+    std::ranges::for_each(connections_, add);
+    std::ranges::for_each(closing_connections_,
+                          [&add](const auto& closing) { add(closing.lock()); });
+    std::ranges::for_each(unread, [limit](const auto& connection) {
+        connection->cut_off_slow_reader(limit);
+    });
+}
+
 void http_listener::stop() {
     asio::error_code ignored;  // The socket is given up in any case.
     std::ignore = acceptor_.close(ignored);
--- a/src/net/http_listener.hpp
+++ b/src/net/http_listener.hpp
@@ -5,6 +5,7 @@
 
 #include <asio/ip/tcp.hpp>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 #include <unordered_set>
@@ -19,7 +20,14 @@
 // outlive them, and `stop` must be called before it is destroyed.
 class http_listener {
 public:
-    http_listener(event_loop& loop, caller_hooks hooks);
+    // `account` must outlive the listener's connections.
+    http_listener(event_loop& loop, memory_budget::memory_account& account,
+                  caller_hooks hooks);
+
+    // Sets the number of open descriptors of the process from which on
+    // connections without an active request are closed for new ones, and new
+    // ones if there is none of these. The default is unlimited.
+    void set_max_descriptors(int count) { max_descriptors_ = count; }
 
     // Starts listening on "IP:port".
     // Errors: kInvalidArgument for a malformed address, kUnavailable when the
@@ -42,6 +50,10 @@
     // Whether a caller has not read a whole response that has ended.
     bool has_unsent_responses();
 
+    // Resets connections whose callers have not read their response for as long
+    // as `limit`.
+    void cut_off_slow_readers(base::duration limit);
+
     // Number of open connections.
     std::size_t connection_count() const { return connections_.size(); }
     // Number of accepted sockets that could not be registered with the event
@@ -49,6 +61,9 @@
     std::uint64_t registration_failures() const {
         return registration_failures_;
     }
+    // Number of connections that were closed to free descriptors, or refused
+    // because there are none.
+    std::uint64_t descriptor_closures() const { return descriptor_closures_; }
     // Number of connections with an active request.
     std::size_t active_requests() const;
 
@@ -61,8 +76,13 @@
     void add_connection(int descriptor, std::string_view received,
                         bool admitted);
     bool try_refuse(int descriptor);
+    // Closes connections without an active request, those first that have been
+    // silent longest. Returns whether there are any.
+    bool close_silent_connections();
 
     event_loop& loop_;
+    memory_budget::memory_account& account_;
+    int max_descriptors_ = std::numeric_limits<int>::max();
     asio::ip::tcp::acceptor acceptor_;
     asio::ip::tcp protocol_ = asio::ip::tcp::v4();
     // Parses the request of a connection that is refused without a
@@ -73,6 +93,7 @@
     // Connections that close when their caller has read the last response.
     std::vector<std::weak_ptr<caller_connection>> closing_connections_;
     std::uint64_t registration_failures_ = 0;
+    std::uint64_t descriptor_closures_ = 0;
 };
 
 }  // namespace bronzehub::net
--- a/src/net/message_parser.hpp
+++ b/src/net/message_parser.hpp
@@ -70,6 +70,11 @@
     const message_head& head() const { return head_; }
     // Hands over the head of the complete message.
     message_head take_head() { return std::exchange(head_, {}); }
+    // Memory that the fields take, which is far more than their bytes.
+    std::size_t head_memory() const {
+        return head_.headers.capacity() * sizeof(base::http_header) +
+               2 * head_bytes_;
+    }
 
     // Prepares for the next message. With `response_to_head`, that message is
     // the response to a HEAD request and has no body.
