Report what callers make a host hold

Adds the metrics memory_held_bytes, memory_denied, memory_given_way and descriptor_closures, the part memory of the state dump and fields of the summary line.

--- a/review/standins.py
+++ b/review/standins.py
@@ -503,7 +503,7 @@
                 "budget-window-s": 10,
                 **(bounds or {}),
             },
-            "limits": {"file-descriptors": 4100},
+            "limits": {"file-descriptors": 4100, "memory-mb": memory_mb},
         }
         self.folder = tempfile.TemporaryDirectory(prefix="bronzehub-review-")
 
--- a/src/entry/entry_node_reports.cpp
+++ b/src/entry/entry_node_reports.cpp
@@ -116,6 +116,27 @@
         "Requests that waited for an engine whose failure domain was "
         "evacuated.",
         static_cast<double>(evacuation_moves_));
+    for (std::size_t i = 0; i < memory_budget::memory_cause_count; ++i) {
+        const auto cause = static_cast<memory_budget::memory_cause>(i);
+        const std::string name(memory_budget::to_string(cause));
+        metrics_
+            .add_gauge("bronzehub_entry_memory_held_bytes",
+                       "Memory that callers make this host hold, by cause.",
+                       {{"cause", name}})
+            .set(static_cast<double>(memory_.held_bytes(cause)));
+        metrics_
+            .add_gauge("bronzehub_entry_memory_denied",
+                       "Requests refused, or responses not read for a while, "
+                       "because there was no memory.",
+                       {{"cause", name}})
+            .set(static_cast<double>(memory_.denied_count(cause)));
+    }
+    set("bronzehub_entry_memory_given_way",
+        "Connections closed because others needed their memory.",
+        static_cast<double>(memory_.given_way_count()));
+    set("bronzehub_entry_descriptor_closures",
+        "Connections of callers closed because descriptors were short.",
+        static_cast<double>(caller_listener_.descriptor_closures()));
     set("bronzehub_entry_malformed_datagrams",
         "Datagrams that could not be decoded as a message of this version.",
         static_cast<double>(malformed_datagrams_));
@@ -151,6 +172,18 @@
     for (const overload::segment_id id : quarantine_.quarantined_segments()) {
         result["quarantined_segments"].push_back(encode_segment_key(id));
     }
+    auto& memory = result["memory"];
+    memory = {{"held_bytes", memory_.held_bytes()},
+              {"given_way", memory_.given_way_count()}};
+    if (memory_.is_limited()) {
+        memory["limit_bytes"] = memory_.limits().total_bytes;
+    }
+    for (std::size_t i = 0; i < memory_budget::memory_cause_count; ++i) {
+        const auto cause = static_cast<memory_budget::memory_cause>(i);
+        const std::string name(memory_budget::to_string(cause));
+        memory["held_by_cause"][name] = memory_.held_bytes(cause);
+        memory["denied_by_cause"][name] = memory_.denied_count(cause);
+    }
     for (const auto& [id, server] : servers_.all()) {
         result["backend_servers"][id] = {
             {"service", server.service},
@@ -229,6 +262,9 @@
          field("asks", schedule.requests),
          field("owners_passed_over", schedule.owners_passed_over),
          field("lateness_ms", host_load_.lateness()),
+         field("memory_held_bytes", memory_.held_bytes()),
+         field("memory_given_way", memory_.given_way_count()),
+         field("descriptor_closures", caller_listener_.descriptor_closures()),
          field("lines_dropped", log_writer_.dropped_count())});
 }
 
