Read on after a refusal for memory until the caller sees it

Callers saw: a client that sends its whole body before it reads got a reset instead of the refusal, as the connection was read for one second only. The connection is now read for up to five seconds, and such connections are the first that close when descriptors are short; a timer that is no longer needed is cancelled, so that it does not keep the channel.

--- a/src/net/byte_channel.cpp
+++ b/src/net/byte_channel.cpp
@@ -9,9 +9,6 @@
 
 using asio::ip::tcp;
 
-// Time for which a connection whose sending direction is shut down is still
-// read, so that the last bytes reach the peer before a reset.
-constexpr std::chrono::seconds linger_time{1};
 // Reads into the loop's buffer (256 KiB in total) before other connections are
 // served. Several reads per wake-up cost less than one read per wake-up.
 constexpr int max_reads_per_wakeup = 4;
@@ -241,6 +238,9 @@
     // Pending operations may keep the channel for a while.
     std::string().swap(send_buffer_);
     shared_.reset();
+    if (linger_timer_) {
+        loop_.cancel(*std::exchange(linger_timer_, std::nullopt));
+    }
     hooks_.reset();
 }
 
@@ -253,12 +253,14 @@
     close();
 }
 
-void byte_channel::close_after_write(unread_bytes unread) {
+void byte_channel::close_after_write(unread_bytes unread,
+                                     base::duration linger_time) {
     if (!open_ || closing_) {
         return;
     }
     closing_ = true;
     unread_ = unread;
+    linger_time_ = linger_time;
     if (unread_ == unread_bytes::expected) {
         paused_ = false;
         start_read();
@@ -275,8 +277,10 @@
     }
     asio::error_code ignored;  // The peer may have closed already.
     std::ignore = socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    loop_.run_after(linger_time,
-                    [self = shared_from_this()] { self->close(); });
+    linger_timer_ = loop_.run_after(linger_time_, [self = shared_from_this()] {
+        self->linger_timer_.reset();
+        self->close();
+    });
 }
 
 }  // namespace bronzehub::net
--- a/src/net/byte_channel.hpp
+++ b/src/net/byte_channel.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -73,14 +74,19 @@
     // error instead of an orderly close.
     void reset();
 
+    // Time for which a connection whose sending direction is shut down is still
+    // read, so that the last bytes reach the peer before a reset.
+    static constexpr std::chrono::seconds default_linger_time{1};
+
     // Whether the peer may still send bytes that will not be read.
     enum class unread_bytes : std::uint8_t { none, expected };
 
     // Sends the unsent bytes, then closes. With `unread_bytes::expected`, shuts
     // down the sending direction first and closes when the peer has closed too
-    // or after a timeout: closing a socket with unread bytes resets the
+    // or after `linger_time`: closing a socket with unread bytes resets the
     // connection, and the reset may reach the peer before the last bytes.
-    void close_after_write(unread_bytes unread);
+    void close_after_write(unread_bytes unread,
+                           base::duration linger_time = default_linger_time);
 
 private:
     void start_read();
@@ -103,6 +109,8 @@
     std::shared_ptr<const std::string> shared_;
     std::size_t shared_offset_ = 0;
     std::uint64_t bytes_written_ = 0;
+    base::duration linger_time_ = default_linger_time;
+    std::optional<base::timer_id> linger_timer_;
     bool open_ = true;
     bool paused_ = false;
     bool read_pending_ = false;
--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -22,6 +22,9 @@
 constexpr std::size_t connection_bytes = std::size_t{4} * 1024;
 // Least capacity of a body whose length is unknown, once it needs more.
 constexpr std::size_t min_body_capacity = 4096;
+// Callers read a refusal only when they have sent the body. This suffices for
+// 4 MiB at 1 MB/s.
+constexpr std::chrono::seconds memory_refusal_linger_time{5};
 // Used if there is no hook: the time after which others may have given way.
 constexpr std::string_view minimal_refusal =
     "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
@@ -271,7 +274,8 @@
     reject_with(
         encode_head(status, {{"Content-Type", "application/json"}},
                     absl::StrCat("Content-Length: ", body.size(), "\r\n")) +
-        body);
+            body,
+        byte_channel::default_linger_time);
 }
 
 void caller_connection::reject_for_memory(memory_cause cause) {
@@ -279,11 +283,13 @@
         memory_.on_denied(cause);
         reject_with(hooks_->make_memory_refusal
                         ? hooks_->make_memory_refusal(parser_.head())
-                        : std::string(minimal_refusal));
+                        : std::string(minimal_refusal),
+                    memory_refusal_linger_time);
     }
 }
 
-void caller_connection::reject_with(std::string_view response) {
+void caller_connection::reject_with(std::string_view response,
+                                    base::duration linger_time) {
     if (std::exchange(input_discarded_, true)) {
         return;
     }
@@ -297,7 +303,8 @@
     memory_.release();
     memory_.set_state(holder_state::kept);
     channel_->write(response);
-    channel_->close_after_write(byte_channel::unread_bytes::expected);
+    channel_->close_after_write(byte_channel::unread_bytes::expected,
+                                linger_time);
     hooks_->on_closed(*this);
 }
 
--- a/src/net/caller_connection.hpp
+++ b/src/net/caller_connection.hpp
@@ -160,7 +160,7 @@
     void reject(int status);
     void reject_for_memory(memory_budget::memory_cause cause);
     // Sends a response, frees the request and closes the connection.
-    void reject_with(std::string_view response);
+    void reject_with(std::string_view response, base::duration linger_time);
     // Whether there is memory for the fields that have arrived.
     bool has_memory_for_head();
     // Reserves memory for a body of `size` bytes. Rejects the request if there
--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -48,7 +48,7 @@
                 on_closed(closed);
             }
             const auto connection = closed.shared_from_this();
-            if (connection->unsent_bytes() > 0) {
+            if (connection->is_open()) {
                 closing_connections_.push_back(connection);
             }
             connections_.erase(connection);
@@ -206,6 +206,13 @@
                          [](const auto& connection) {
                              return !connection->has_active_request();
                          });
+    std::ranges::for_each(closing_connections_, [&silent](const auto& closing) {
+        const auto connection = closing.lock();
+        if (connection && connection->is_open() &&
+            connection->unsent_bytes() == 0) {
+            silent.push_back(connection);
+        }
+    });
     const std::size_t count = std::min(max_closed_at_once, silent.size());
     std::ranges::partial_sort(
         silent, silent.begin() + static_cast<std::ptrdiff_t>(count), {},
@@ -266,12 +273,14 @@
 bool http_listener::has_unsent_responses() {
     std::erase_if(closing_connections_, [](const auto& closing) {
         const auto connection = closing.lock();
-        return !connection || connection->unsent_bytes() == 0;
+        return !connection || !connection->is_open();
     });
-    return !closing_connections_.empty() ||
-           std::ranges::any_of(connections_, [](const auto& connection) {
-               return connection->unsent_bytes() > 0;
-           });
+    const auto has_unsent = [](const auto& connection) {
+        return connection && connection->unsent_bytes() > 0;
+    };
+    return std::ranges::any_of(closing_connections_, has_unsent,
+                               &std::weak_ptr<caller_connection>::lock) ||
+           std::ranges::any_of(connections_, has_unsent);
 }
 
 std::size_t http_listener::active_requests() const {
--- a/src/net/http_listener.hpp
+++ b/src/net/http_listener.hpp
@@ -90,7 +90,8 @@
     message_parser refusal_parser_;
     std::shared_ptr<const caller_hooks> hooks_;
     std::unordered_set<std::shared_ptr<caller_connection>> connections_;
-    // Connections that close when their caller has read the last response.
+    // Connections that close when their caller has read the last response, or
+    // has closed too.
     std::vector<std::weak_ptr<caller_connection>> closing_connections_;
     std::uint64_t registration_failures_ = 0;
     std::uint64_t descriptor_closures_ = 0;
