Guard requests on kept connections beside a crowd

The new case of crowd_path_test guards the same with a smaller crowd: no request that a server has read may lose its response, and the peak stays below the memory.

--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -593,7 +593,7 @@
 
 std::string entry_node::make_memory_refusal(const net::message_head& head) {
     if (const auto& configuration = fleet_watch_.configuration()) {
-        count_host_refusal(share_meter_, *configuration,
+        count_host_refusal(call_environment_, *configuration,
                            platform_wire::describe_request(head.headers));
     }
     return encode_early_refusal(head, "no memory for the request",
--- a/tests/entry_path/crowd_path_test.py
+++ b/tests/entry_path/crowd_path_test.py
@@ -21,7 +21,7 @@
     run_cases,
     wait_until,
 )
-from platform_standin import BackendServer, Store, configuration
+from platform_standin import BackendServer, Store, configuration, read_message
 
 # The memory that the settings of the host state, and the bound of its peak.
 MEMORY_MB = 96
@@ -36,6 +36,9 @@
 PIECE_BYTES = 64 * 1024
 # Chunks of one byte in a body.
 TINY_CHUNKS = 80000
+# Ordinary callers that keep their connections beside a crowd.
+KEPT_CALLERS = 20
+KEPT_REQUESTS = 20
 # Longest time for which a caller of the crowd may wait to send its bytes. A
 # host need not read them.
 SEND_LIMIT_S = 10
@@ -236,6 +239,33 @@
         await self.send_crowd(body_request(STREAMING_PATH))
         await self.check_host()
 
+    # A process that ends loses the responses to requests that servers have run.
+    # Guards what review/2 shows, with a smaller crowd and no request to lose.
+    async def test_requests_on_kept_connections_beside_a_crowd(self):
+        self.plain[0].pause_s = 0.05
+        lost = []
+
+        async def send_requests(name):
+            reader, writer = await self.connect_caller()
+            for number in range(KEPT_REQUESTS):
+                request_id = f"{name}-{number}"
+                try:
+                    writer.write(encode_request("/read/1", request_id=request_id))
+                    _, headers, _ = await read_message(reader)
+                except (OSError, asyncio.IncompleteReadError):
+                    executed = [entry[0] for entry in self.executions(self.plain)]
+                    lost.extend({request_id} & set(executed))
+                    return
+                if headers.get("connection") == "close":
+                    return
+
+        callers = [send_requests(f"kept-{i}") for i in range(KEPT_CALLERS)]
+        await asyncio.gather(
+            self.send_crowd(body_request(STREAMING_PATH), piece_bytes=PIECE_BYTES), *callers
+        )
+        self.assertEqual(lost, [])
+        await self.check_host()
+
     async def test_large_chunks_that_stop_short(self):
         count = MAX_BODY_BYTES // PIECE_BYTES
         await self.send_crowd(chunked_request(PLAIN_PATH, PIECE_BYTES, count, b"0\r\n"))
