--- a/bench/entry_cost/entry_cost.py
+++ b/bench/entry_cost/entry_cost.py
@@ -17,8 +17,8 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../../tests/entry_path"))
 
-import entry_path_test  # noqa: E402
-from entry_path_test import ROUTES, Daemon, fetch, wait_until  # noqa: E402
+import entry_path_fixture  # noqa: E402
+from entry_path_fixture import ROUTES, Daemon, fetch, wait_until  # noqa: E402
 from platform_standin import BackendServer, Store, configuration  # noqa: E402
 
 # Requests that are open at the same time.
@@ -58,8 +58,8 @@
     store.write_json("op", "config", configuration(1, ROUTES))
     with tempfile.NamedTemporaryFile(suffix=".strace") as table:
         # With -D, the process that is started is the daemon itself.
-        entry_path_test.PROGRAM = program
-        entry_path_test.COMMAND_PREFIX = ["strace", "-D", "-c", "-f", "-o", table.name]
+        entry_path_fixture.PROGRAM = program
+        entry_path_fixture.COMMAND_PREFIX = ["strace", "-D", "-c", "-f", "-o", table.name]
         daemon = Daemon(store)
         await wait_until(lambda: is_ready(daemon), 10)
         began = time.monotonic()
