--- a/src/entry/backend_connection.hpp
+++ b/src/entry/backend_connection.hpp
@@ -51,6 +51,8 @@
     std::string target;
     base::http_headers headers;
     std::string_view body;
+    // If set, sent instead of `body` without a copy. For large bodies.
+    std::shared_ptr<const std::string> shared_body = nullptr;
     // If the connection is not established by then, nothing is sent.
     base::time_point send_before = base::time_point::max();
     // If set, sent instead of `body` without a copy. For large bodies.
--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -299,6 +299,7 @@
             std::exchange(request_.body, {}));
     }
     outgoing.body = request_.body;
+    outgoing.shared_body = large_body_;
     outgoing.send_before = target.send_before;
     outgoing.shared_body = large_body_;
     const auto connection = target.connection;
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -63,6 +63,8 @@
     // Number of listed servers that may be cold.
     std::size_t count_cold_servers() const;
     void log_cold_servers();
+    // Reserves descriptors for what is not a caller.
+    void set_descriptor_limits();
     void listen_for_signals();
     // Applies the settings file if its text has changed.
     void reload_settings();
