Send no second attempt with keys or segments that forbid a first one

A second attempt did not pass the checks of the age of the keys and of restricted prompt segments, which may have changed since the first one.

--- a/src/entry/call_second_attempt.cpp
+++ b/src/entry/call_second_attempt.cpp
@@ -49,6 +49,8 @@
         attempt_ && !attempt_->connection->is_closed() && attempt_->status == 0;
     if (!waits_for_response || second_ || second_search_ ||
         environment_.fleet.configuration() != configuration_ ||
+        !(organisation_.empty() || has_fresh_keys(environment_)) ||
+        environment_.quarantine.needs_clearance(shared_segments_) ||
         environment_.time_to_stop() || environment_.load.is_late()) {
         return;
     }
