Weigh ends of engines by the failure domains that saw them

Ends that only hosts of one failure domain saw, and only at engines of others, quarantine a segment at six instead of four: a fault of their links may look alike, and a segment that most requests share must not be refused to all on their word. Six is the bound for a segment whose callers all reach one domain. A crash in a datagram says in which domain it was seen and whether the engine is in it, at the end of its fields.

--- a/src/entry/call_segments.cpp
+++ b/src/entry/call_segments.cpp
@@ -117,7 +117,11 @@
     report_.segments =
         format_segments(overload::shared_segments(description_.prompt));
     overload::engine_crash crash{
-        instance_name(attempt_->server), {}, attempt_->sent_at};
+        instance_name(attempt_->server),
+        {},
+        attempt_->sent_at,
+        environment_.failure_domain,
+        attempt_->server.failure_domain == environment_.failure_domain};
     if (!attempt_->has_event) {
         crash.segments = shared_segments_;
     }
--- a/src/entry/quarantine_link.cpp
+++ b/src/entry/quarantine_link.cpp
@@ -182,7 +182,8 @@
     segment_report_message crashed;
     crashed.crashes = {
         {std::move(crash.engine), std::move(crash.segments),
-         duration_cast<microseconds>(clock_.now() - crash.sent_at).count()}};
+         duration_cast<microseconds>(clock_.now() - crash.sent_at).count(),
+         hosts_.self().failure_domain, crash.is_local}};
     report(std::move(crashed));
 }
 
@@ -261,7 +262,8 @@
     for (const segment_crash_message& crash : report.crashes) {
         const overload::engine_crash decoded{
             crash.engine, crash.segments,
-            now - limit_to<microseconds>(crash.sent_before_us, max_report_age)};
+            now - limit_to<microseconds>(crash.sent_before_us, max_report_age),
+            crash.failure_domain, crash.is_local};
         if (quarantined_for(crash.segments) > base::duration(0)) {
             attribution_.on_explained_crash(decoded);
         } else if (const auto culprit = attribution_.on_crash(decoded)) {
--- a/src/entry/schedule_messages.hpp
+++ b/src/entry/schedule_messages.hpp
@@ -188,7 +188,11 @@
     std::vector<std::uint64_t> segments;
     // Time from sending the request to the engine until this message was sent.
     std::int64_t sent_before_us = 0;
-    MSGPACK_DEFINE_ARRAY(engine, segments, sent_before_us)
+    // Failure domain of the host that saw it, and whether the engine is in it.
+    std::string failure_domain;
+    bool is_local = false;
+    MSGPACK_DEFINE_ARRAY(engine, segments, sent_before_us, failure_domain,
+                         is_local)
 };
 
 // Asks to send one request with restricted segments.
--- a/src/overload/crash_attribution.cpp
+++ b/src/overload/crash_attribution.cpp
@@ -50,7 +50,7 @@
         return std::nullopt;
     }
     for (const segment_id id : segments) {
-        count_crash(id, record, crash.sent_at);
+        count_crash(id, record, crash);
     }
     const auto culprit = choose_culprit(segments);
     if (culprit) {
@@ -62,10 +62,18 @@
 
 void crash_attribution::count_crash(segment_id segment,
                                     const crash_record& record,
-                                    base::time_point sent_at) {
+                                    const engine_crash& crash) {
     suspicion& suspected = suspicions_[segment];
+    if (suspected.crashes.empty()) {
+        suspected.first_witness_domain = crash.witness_domain;
+        suspected.is_attested = false;
+    }
+    suspected.is_attested =
+        suspected.is_attested || crash.is_local ||
+        crash.witness_domain.empty() ||
+        crash.witness_domain != suspected.first_witness_domain;
     const bool is_sequential =
-        suspected.crashes.empty() || sent_at > suspected.last_crash_at;
+        suspected.crashes.empty() || crash.sent_at > suspected.last_crash_at;
     if (!is_sequential || std::ranges::find(suspected.crashes, record.number) !=
                               suspected.crashes.end()) {
         return;
@@ -74,13 +82,17 @@
     suspected.last_crash_at = clock_.now();
 }
 
+bool crash_attribution::is_proven(const suspicion& suspected) {
+    return suspected.crashes.size() >=
+           (suspected.is_attested ? quarantining_crashes : one_sided_crashes);
+}
+
 std::optional<segment_id> crash_attribution::choose_culprit(
     std::span<const segment_id> segments) const {
     std::vector<segment_id> candidates;
     std::ranges::copy_if(
-        segments, std::back_inserter(candidates), [this](segment_id id) {
-            return suspicions_.at(id).crashes.size() >= quarantining_crashes;
-        });
+        segments, std::back_inserter(candidates),
+        [this](segment_id id) { return is_proven(suspicions_.at(id)); });
     if (candidates.empty()) {
         return std::nullopt;
     }
@@ -105,8 +117,7 @@
     suspicions_.erase(culprit);
     for (auto& [id, suspected] : suspicions_) {
         suspected.was_exonerated =
-            suspected.was_exonerated ||
-            suspected.crashes.size() >= quarantining_crashes;
+            suspected.was_exonerated || is_proven(suspected);
     }
     for (crash_record& record : records_) {
         if (record.segments.contains(culprit)) {
@@ -183,6 +194,8 @@
          suspects.first(std::min(suspects.size(), std::size_t{max_suspects}))) {
         suspicion& adopted = suspicions_[suspect.id];
         adopted.last_crash_at = clock_.now();
+        // The other host knew where the crashes were seen.
+        adopted.is_attested = true;
         for (std::uint32_t i = 0;
              i < std::min(suspect.crashes, quarantining_crashes - 1); ++i) {
             adopted.crashes.push_back(next_crash_++);
--- a/src/overload/crash_attribution.hpp
+++ b/src/overload/crash_attribution.hpp
@@ -7,11 +7,13 @@
 // An engine that ends casts suspicion on the shared segments of all requests on
 // it that had no event yet. Counting these ends alone would also find segments
 // that are in most requests, above all when engines end together for another
-// reason, so three rules apply:
+// reason, so four rules apply:
 //
 // - An event of any request clears its segments.
 // - Requests that were sent before the last end that counts against a segment
 //   add nothing, so ends at the same time count once.
+// - Ends that only hosts of one failure domain saw, and only at engines of
+//   others, count for less, because a fault of their links may look alike.
 // - From `restricting_crashes` on, the requests with a segment are sent one at
 // a
 //   time. Only this trial can add to the count.
@@ -49,6 +51,10 @@
     std::vector<segment_id> segments;
     // When the request was sent to the engine.
     base::time_point sent_at;
+    // Failure domain of the host that saw it; empty if it isn't known.
+    std::string witness_domain;
+    // The engine is in the same failure domain.
+    bool is_local = false;
 };
 
 struct suspect_segment {
@@ -70,6 +76,9 @@
 public:
     static constexpr std::uint32_t restricting_crashes = 2;
     static constexpr std::uint32_t quarantining_crashes = 4;
+    // The same if no second failure domain has seen an end, nor any host an end
+    // in its own. The bound for a segment whose callers all reach one domain.
+    static constexpr std::uint32_t one_sided_crashes = 6;
     // A segment is quarantined from here on even if another one behind it in
     // the prompt is restricted, too.
     static constexpr std::uint32_t max_unexplained_crashes = 8;
@@ -118,6 +127,9 @@
         base::time_point last_crash_at;
         // The segment reached the limit together with one that was quarantined.
         bool was_exonerated = false;
+        // Where the counted crashes were seen.
+        std::string first_witness_domain;
+        bool is_attested = false;
     };
 
     struct crash_record {
@@ -137,7 +149,9 @@
 
     crash_record& find_or_create_record(const engine_crash& crash);
     void count_crash(segment_id segment, const crash_record& record,
-                     base::time_point sent_at);
+                     const engine_crash& crash);
+    // Whether the crashes suffice for a quarantine.
+    static bool is_proven(const suspicion& suspected);
     // Returns the segment of a prompt to quarantine, if any.
     std::optional<segment_id> choose_culprit(
         std::span<const segment_id> segments) const;
--- a/src/overload/crash_attribution_test.cpp
+++ b/src/overload/crash_attribution_test.cpp
@@ -12,6 +12,7 @@
 using namespace std::chrono_literals;
 using bronzehub::base::paused_clock;
 using bronzehub::overload::crash_attribution;
+using bronzehub::overload::engine_crash;
 using bronzehub::overload::segment_id;
 
 constexpr segment_id head = 1;
@@ -23,8 +24,11 @@
         time.advance(100ms);
         const auto sent_at = time.now();
         time.advance(100ms);
-        return tested.on_crash(
-            {"engine-" + std::to_string(++engines), segments, sent_at});
+        return tested.on_crash({"engine-" + std::to_string(++engines),
+                                segments,
+                                sent_at,
+                                {},
+                                false});
     }
 
     void event(const std::vector<segment_id>& segments) {
@@ -57,6 +61,34 @@
     CHECK(all.crash(segments) == culprit);
 }
 
+// Guards against a segment of many requests that is refused to all on the word
+// of hosts whose links to other failure domains are at fault, and against one
+// that ends engines for ever because its callers reach one domain.
+TEST_CASE("ends that one failure domain saw elsewhere count for less") {
+    struct sighting {
+        std::string domain;
+        bool is_local = false;
+    };
+    const auto [others, second,
+                needed] = GENERATE(table<sighting, sighting, std::uint32_t>({
+        {{"a", false}, {"a", false}, crash_attribution::one_sided_crashes},
+        {{"a", false}, {"b", false}, crash_attribution::quarantining_crashes},
+        {{"a", false}, {"a", true}, crash_attribution::quarantining_crashes},
+    }));
+    attribution all;
+    for (std::uint32_t i = 1; i <= needed; ++i) {
+        const sighting& seen = i == 2 ? second : others;
+        all.time.advance(100ms);
+        const engine_crash crash{"engine-" + std::to_string(i),
+                                 {head, bad},
+                                 all.time.now(),
+                                 seen.domain,
+                                 seen.is_local};
+        all.time.advance(100ms);
+        CHECK(all.tested.on_crash(crash).has_value() == (i == needed));
+    }
+}
+
 // Guards against a common segment that is blamed for what another one does.
 TEST_CASE("a segment whose other requests get events is not quarantined") {
     attribution all;
@@ -136,7 +168,9 @@
                 all.tested
                     .on_crash({"engine-" + std::to_string(round * 12 + engine),
                                {head, session},
-                               sent_at})
+                               sent_at,
+                               {},
+                               false})
                     .has_value());
         }
         for (const auto& suspect : all.tested.suspects()) {
@@ -155,7 +189,8 @@
     all.time.advance(100ms);
     for (int report = 0; report < 10; ++report) {
         CHECK_FALSE(
-            all.tested.on_crash({"engine", {head, bad}, sent_at}).has_value());
+            all.tested.on_crash({"engine", {head, bad}, sent_at, {}, false})
+                .has_value());
         all.time.advance(1ms);
     }
     CHECK(all.tested.suspects().size() == 2);
@@ -170,7 +205,8 @@
     for (int i = 0; i < 4; ++i) {
         const auto sent_at = all.time.now();
         all.time.advance(100ms);
-        found = all.tested.on_crash({"engine", {head, bad}, sent_at});
+        found =
+            all.tested.on_crash({"engine", {head, bad}, sent_at, {}, false});
         all.time.advance(2s);
         all.event({head});
     }
@@ -186,15 +222,20 @@
         // Another request on the engine that the same crash ended.
         all.tested.on_crash({"engine-" + std::to_string(all.engines),
                              {head, 50},
-                             all.time.now() - 50ms});
+                             all.time.now() - 50ms,
+                             {},
+                             false});
     }
     REQUIRE(all.tested.is_restricted(50));
     REQUIRE(all.crash({head, bad}) == bad);
     CHECK_FALSE(all.tested.is_restricted(50));
     CHECK_FALSE(all.tested.is_restricted(head));
     // A report that arrives later is explained, too.
-    all.tested.on_crash(
-        {"engine-" + std::to_string(all.engines), {head, 51}, all.time.now()});
+    all.tested.on_crash({"engine-" + std::to_string(all.engines),
+                         {head, 51},
+                         all.time.now(),
+                         {},
+                         false});
     CHECK(all.tested.suspects().empty());
 }
 
--- a/tests/replay/crash_replay.cpp
+++ b/tests/replay/crash_replay.cpp
@@ -275,7 +275,9 @@
         if (!at || at->incarnation != broken->incarnation) {
             continue;
         }
-        at->quarantine->on_crash({name, broken->segments, broken->sent_at});
+        at->quarantine->on_crash({name, broken->segments, broken->sent_at, "",
+                                  broken->host % options_.failure_domains ==
+                                      ended.index % options_.failure_domains});
         if (std::exchange(broken->has_trial, false)) {
             at->quarantine->end_trial(broken->trial);
         }
