--- a/src/entry/backend_connection.hpp
+++ b/src/entry/backend_connection.hpp
@@ -55,8 +55,6 @@
     std::shared_ptr<const std::string> shared_body = nullptr;
     // If the connection is not established by then, nothing is sent.
     base::time_point send_before = base::time_point::max();
-    // If set, sent instead of `body` without a copy. For large bodies.
-    std::shared_ptr<const std::string> shared_body = nullptr;
 };
 
 // Encodes the head and body of a request, with a Content-Length field if the
--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -301,7 +301,6 @@
     outgoing.body = request_.body;
     outgoing.shared_body = large_body_;
     outgoing.send_before = target.send_before;
-    outgoing.shared_body = large_body_;
     const auto connection = target.connection;
     const auto self = shared_from_this();
     connection->send(
