--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -52,9 +52,9 @@
     static constexpr std::chrono::milliseconds exit_reserve{400};
 
     quarantine_hooks make_quarantine_hooks();
-    // Returns the terms of an engine for `schedule_link::set_cold_terms`.
     // Returns the number of waiting requests that were moved.
     std::size_t on_evacuation_change(const evacuation::set_change& change);
+    // Returns the terms of an engine for `schedule_link::set_cold_terms`.
     std::optional<cold_start::engine_terms> find_cold_terms(
         std::string_view engine) const;
     bool is_cold(const fleet_state::backend_server& server) const;
