Check whole field lines and chunks at once

The syntax check went through its states byte by byte. Complete field lines, the target and plain chunks are now checked without a state for each byte; the states handle what is left when a part arrives incomplete.

Counted by callgrind at -O2, in instructions: the parsers of one request with 10 fields and of its response 28.8 thousand before, 27.0 thousand after; each chunked event 800 before, 680 after (400 without the check).

--- a/src/net/message_syntax.cpp
+++ b/src/net/message_syntax.cpp
@@ -8,9 +8,6 @@
 #include <string>
 #include <utility>
 
-#include "absl/strings/ascii.h"
-#include "absl/strings/str_cat.h"
-
 namespace bronzehub::net {
 namespace {
 
@@ -59,11 +56,13 @@
     return (byte_classes[static_cast<unsigned char>(c)] & byte_class) != 0;
 }
 
-// Number of bytes before the first one that is no part of a token.
-std::size_t token_size(std::string_view bytes) {
-    const auto end = std::ranges::find_if_not(
-        bytes, [](char c) { return has_class(c, token_byte); });
-    return static_cast<std::size_t>(end - bytes.begin());
+// Number of bytes before the first one that is not of this class.
+std::size_t prefix_size(std::string_view bytes, std::uint8_t byte_class) {
+    std::size_t size = 0;
+    while (size < bytes.size() && has_class(bytes[size], byte_class)) {
+        ++size;
+    }
+    return size;
 }
 
 // Number of bytes before one that may not be part of a field value. Checks
@@ -85,10 +84,24 @@
             break;
         }
     }
-    while (size < bytes.size() && has_class(bytes[size], value_byte)) {
-        ++size;
+    return size + prefix_size(bytes.substr(size), value_byte);
+}
+
+// Size of the complete field lines at the beginning that are valid.
+std::size_t field_lines_size(std::string_view bytes) {
+    std::size_t size = 0;
+    while (true) {
+        const std::string_view line = bytes.substr(size);
+        const std::size_t name = prefix_size(line, token_byte);
+        if (name == 0 || name == line.size() || line[name] != ':') {
+            return size;
+        }
+        const std::size_t end = name + 1 + value_size(line.substr(name + 1));
+        if (!line.substr(end).starts_with("\r\n")) {
+            return size;
+        }
+        size += end + 2;
     }
-    return size;
 }
 
 bool is_blank(char c) {
@@ -103,7 +116,8 @@
     if (is_digit(c)) {
         return c - '0';
     }
-    const char lower = absl::ascii_tolower(static_cast<unsigned char>(c));
+    constexpr int lower_case_bit = 0x20;
+    const int lower = static_cast<unsigned char>(c) | lower_case_bit;
     if (lower >= 'a' && lower <= 'f') {
         return lower - 'a' + 10;
     }
@@ -330,27 +344,65 @@
                                        : check_chunk_framing(c);
 }
 
-std::size_t message_syntax::check(std::string_view bytes) {
-    std::size_t checked = 0;
-    while (checked < bytes.size() && !is_complete() && error_.empty()) {
-        if (state_ == state::chunk_data) {
-            const std::uint64_t part = std::min<std::uint64_t>(
-                chunk_bytes_left_, bytes.size() - checked);
-            chunk_bytes_left_ -= part;
-            checked += part;
-            if (chunk_bytes_left_ == 0) {
-                state_ = state::chunk_data_end;
+std::size_t message_syntax::skip_usual_bytes(std::string_view bytes) {
+    switch (state_) {
+        case state::target: {
+            const std::size_t size = prefix_size(bytes, target_byte);
+            part_size_ += size;
+            return size;
+        }
+        case state::field_begin:
+            return field_lines_size(bytes);
+        case state::field_name:
+            return prefix_size(bytes, token_byte);
+        case state::status_line:
+        case state::field_value:
+            return value_size(bytes);
+        case state::chunk_begin: {
+            // A line with at most this many digits and no extension.
+            constexpr std::size_t max_digits = 8;
+            std::uint64_t chunk_size = 0;
+            std::size_t digits = 0;
+            while (digits < std::min(bytes.size(), max_digits)) {
+                const auto digit = hexadecimal_digit(bytes[digits]);
+                if (!digit) {
+                    break;
+                }
+                chunk_size = (chunk_size << 4) | *digit;
+                ++digits;
             }
-            continue;
+            if (chunk_size == 0 || !bytes.substr(digits).starts_with("\r\n")) {
+                return 0;
+            }
+            chunk_bytes_left_ = chunk_size;
+            state_ = state::chunk_data;
+            return digits + 2;
         }
-        // Most bytes of a head are part of a name or a value.
-        if (state_ == state::field_value || state_ == state::field_name) {
-            const std::string_view rest = bytes.substr(checked);
-            checked += state_ == state::field_value ? value_size(rest)
-                                                    : token_size(rest);
-            if (checked == bytes.size()) {
-                break;
+        case state::chunk_data: {
+            const auto size = static_cast<std::size_t>(
+                std::min<std::uint64_t>(chunk_bytes_left_, bytes.size()));
+            chunk_bytes_left_ -= size;
+            if (chunk_bytes_left_ > 0) {
+                return size;
             }
+            const bool has_end = bytes.substr(size).starts_with("\r\n");
+            state_ = has_end ? state::chunk_begin : state::chunk_data_end;
+            return size + (has_end ? 2 : 0);
+        }
+        default:
+            return 0;
+    }
+}
+
+std::size_t message_syntax::check(std::string_view bytes) {
+    std::size_t checked = 0;
+    while (!is_complete() && error_.empty()) {
+        while (const std::size_t size =
+                   skip_usual_bytes(bytes.substr(checked))) {
+            checked += size;
+        }
+        if (checked == bytes.size()) {
+            break;
         }
         const state next = next_state(bytes[checked]);
         if (!error_.empty()) {
--- a/src/net/message_syntax.hpp
+++ b/src/net/message_syntax.hpp
@@ -66,6 +66,9 @@
         complete,
     };
 
+    // Returns the size of a valid part at the beginning, which is handled at
+    // once because most bytes belong to such parts; 0 if there is none.
+    std::size_t skip_usual_bytes(std::string_view bytes);
     // Returns the state after this byte, which does not fit if `error_` is set.
     state next_state(char c);
     state check_start_line(char c);
