Count prompt segments whose size is stated late, and bound their number

A caller could make an engine look full: a segment whose first request stated 0 tokens and a later one 2,000 took 2,000 tokens off the memory in use when both ended, so that the unsigned sum wrapped around and no request fitted beside a running one. Segments of 0 tokens were never evicted, nor were those of an engine of unknown memory.

Cause: `reference_segments` added a size to the memory in use only for the first reference.

The size is now added when it becomes known, a segment without tokens is forgotten with its last request, and at most 4,096 segments are remembered.

Before: the two new cases of overload_test fail in 5 assertions (memory in use 1,500 instead of 3,500; 4,106 segments instead of 0 and 4,096). After: all cases pass.

--- a/src/overload/engine_scheduler.cpp
+++ b/src/overload/engine_scheduler.cpp
@@ -100,7 +100,7 @@
     for (const auto& segment : request.shared_segments) {
         const auto found = cached_segments_.find(segment.id);
         if (found == cached_segments_.end() ||
-            found->second.reference_count == 0) {
+            found->second.reference_count == 0 || found->second.tokens == 0) {
             tokens += segment.tokens;
         }
     }
@@ -137,12 +137,14 @@
 void engine_scheduler::reference_segments(const scheduled_request& request) {
     for (const auto& segment : request.shared_segments) {
         cached_segment& entry = cached_segments_[segment.id];
+        if (entry.reference_count == 0) {
+            memory_in_use_ += entry.tokens;
+        }
         if (entry.tokens == 0) {
+            // The requests that use the segment may have stated no tokens.
             entry.tokens = segment.tokens;
             cached_tokens_ += segment.tokens;
-        }
-        if (entry.reference_count == 0) {
-            memory_in_use_ += entry.tokens;
+            memory_in_use_ += segment.tokens;
         }
         ++entry.reference_count;
         entry.last_use = clock_.now();
@@ -151,8 +153,9 @@
 }
 
 void engine_scheduler::evict_segments() {
-    while (capacity_.memory_tokens > 0 &&
-           cached_tokens_ > capacity_.memory_tokens) {
+    while ((capacity_.memory_tokens > 0 &&
+            cached_tokens_ > capacity_.memory_tokens) ||
+           cached_segments_.size() > max_cached_segments) {
         auto oldest = cached_segments_.end();
         for (auto entry = cached_segments_.begin();
              entry != cached_segments_.end(); ++entry) {
@@ -214,9 +217,12 @@
     }
     memory_in_use_ -= ended.request.own_tokens + ended.request.output_tokens;
     for (const auto& segment : ended.request.shared_segments) {
-        cached_segment& cached = cached_segments_[segment.id];
-        if (--cached.reference_count == 0) {
-            memory_in_use_ -= cached.tokens;
+        const auto cached = cached_segments_.find(segment.id);
+        if (--cached->second.reference_count == 0) {
+            memory_in_use_ -= cached->second.tokens;
+            if (cached->second.tokens == 0) {
+                cached_segments_.erase(cached);
+            }
         }
     }
     running_.erase(entry);
--- a/src/overload/engine_scheduler.hpp
+++ b/src/overload/engine_scheduler.hpp
@@ -107,6 +107,11 @@
     // responses that get longer than expected.
     static constexpr double usable_memory_fraction = 0.9;
 
+    // Segments that are remembered as cached. Callers choose their ids and
+    // sizes, and each eviction looks at all of them; the KV cache of an engine
+    // holds fewer segments of usual size.
+    static constexpr std::size_t max_cached_segments = 4096;
+
     // `fleet` must outlive the scheduler. While its usage is not current, only
     // the grants of this engine determine the fair order.
     engine_scheduler(engine_capacity capacity, const fleet_shares& fleet,
@@ -184,6 +189,8 @@
     double prefill_window() const { return prefill_window_; }
     // KV cache tokens of the running requests.
     std::uint64_t memory_in_use() const { return memory_in_use_; }
+    // Segments that the engine is expected to have in its KV cache.
+    std::size_t cached_segments() const { return cached_segments_.size(); }
 
     // Retry-After for a request of the organisation that is refused now: the
     // time in which the recently refused requests of the organisation could be
@@ -228,7 +235,7 @@
     // Adds the shared segments of a granted request to the cache.
     void reference_segments(const scheduled_request& request);
     // Drops the least recently used segments without running requests until the
-    // cache fits in the memory of the engine.
+    // cache fits in the memory of the engine and the number is in its limit.
     void evict_segments();
     // Recent cost that the organisation was granted. The organisation with the
     // lowest cost is granted next, the one with the highest is refused first.
--- a/src/overload/engine_scheduler_test.cpp
+++ b/src/overload/engine_scheduler_test.cpp
@@ -417,3 +417,39 @@
     }
     CHECK(engine.unreachable.empty());
 }
+
+// Guards against memory in use that falls below zero, after which the engine
+// would get no request beside a running one. A caller states the sizes.
+TEST_CASE("a segment that was first stated without tokens is counted") {
+    engine_fixture engine({.slots = 4, .memory_tokens = 10000});
+    std::uint64_t number = 0;
+    for (const std::uint32_t tokens : {0U, 2000U}) {
+        auto request = engine.make_request(++number, "a");
+        request.shared_segments = {{7, tokens}};
+        REQUIRE(engine.tested.submit(request) == engine_decision::granted);
+    }
+    CHECK(engine.tested.memory_in_use() == 2 * 750 + 2000);
+    engine.tested.release({"host/1", 1});
+    engine.tested.release({"host/1", 2});
+    CHECK(engine.tested.memory_in_use() == 0);
+}
+
+// Guards against a schedule that grows with each segment that a caller makes
+// up: segments without tokens, many small ones, or an engine of unknown memory.
+TEST_CASE("the number of remembered segments is bounded") {
+    const auto [memory_tokens, tokens, limit] =
+        GENERATE(table<std::uint64_t, std::uint32_t, std::size_t>({
+            {1000000, 0, 0},
+            {1000000, 1, engine_scheduler::max_cached_segments},
+            {0, 100, engine_scheduler::max_cached_segments},
+        }));
+    engine_fixture engine({.slots = 4, .memory_tokens = memory_tokens});
+    for (std::uint64_t number = 1;
+         number <= engine_scheduler::max_cached_segments + 10; ++number) {
+        auto request = engine.make_request(number, "a");
+        request.shared_segments = {{number, tokens}};
+        REQUIRE(engine.tested.submit(request) == engine_decision::granted);
+        engine.tested.release({"host/1", number});
+    }
+    CHECK(engine.tested.cached_segments() == limit);
+}
