Let a refusal end other waiting requests of the schedule

A process could end while it refused late requests: the refusal of one can end the trial of a prompt segment, and with it other requests of the same schedule.

Cause: `engine_scheduler::tick` kept an iterator to the next waiting request over the callback.

It now collects the late requests first and looks each of them up again.

Before: the new case of overload_test ends with SIGSEGV. After: all cases pass.

--- a/src/overload/engine_scheduler.cpp
+++ b/src/overload/engine_scheduler.cpp
@@ -406,11 +406,21 @@
 
 void engine_scheduler::tick() {
     const base::time_point now = clock_.now();
-    auto entry = waiting_.begin();
-    while (entry != waiting_.end()) {
-        const auto current = entry++;
-        if (latest_start(*current) < now) {
-            refuse(current);
+    const auto is_late = [&](const scheduled_request& request) {
+        return latest_start(request) < now;
+    };
+    // Each refusal calls back, which can end any of the waiting requests.
+    std::vector<scheduled_request_id> late;
+    for (const scheduled_request& request : waiting_) {
+        if (is_late(request)) {
+            late.push_back(request.id);
+        }
+    }
+    for (const scheduled_request_id& id : late) {
+        const auto entry =
+            std::ranges::find(waiting_, id, &scheduled_request::id);
+        if (entry != waiting_.end() && is_late(*entry)) {
+            refuse(entry);
         }
     }
     rates_.prune();
--- a/src/overload/engine_scheduler_test.cpp
+++ b/src/overload/engine_scheduler_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <map>
 #include <vector>
 
@@ -27,6 +28,7 @@
                                             duration retry_after) {
                                          refused.push_back(id.number);
                                          last_retry_after = retry_after;
+                                         on_refused(id.number);
                                      },
                                      [this](const scheduled_request_id& id) {
                                          unreachable.push_back(id.number);
@@ -50,6 +52,7 @@
     std::vector<std::uint64_t> granted;
     std::vector<std::uint64_t> refused;
     std::vector<std::uint64_t> unreachable;
+    std::function<void(std::uint64_t)> on_refused = [](std::uint64_t) {};
     duration last_retry_after{};
     engine_scheduler tested;
 };
@@ -453,3 +456,21 @@
     }
     CHECK(engine.tested.cached_segments() == limit);
 }
+
+// Guards against a request that is refused although its caller has ended it
+// meanwhile: the refusal of one request can end the trial of a prompt segment
+// that others wait for.
+TEST_CASE("a refusal may end other waiting requests") {
+    engine_fixture engine({.slots = 1});
+    engine.on_refused = [&](std::uint64_t number) {
+        engine.tested.release({"host/1", number + 1});
+    };
+    for (std::uint64_t number = 1; number <= 7; ++number) {
+        engine.tested.submit(engine.make_request(number, "a"));
+    }
+    REQUIRE(engine.tested.waiting() == 6);
+    engine.time.advance(200ms);
+    engine.tested.tick();
+    CHECK(engine.refused == std::vector<std::uint64_t>{2, 4, 6});
+    CHECK(engine.tested.waiting() == 0);
+}
