Keep a newer listing of another host when an older read returns

A host could send requests to a server that had been removed: a response of the store that was under way while a neighbour sent a newer listing replaced that listing, until the next read.

Cause: `fleet_watch` applied every listing that it read; only listings of other hosts were compared by their store time.

A listing is now dropped if another host has sent a newer one since the read was sent. A later read is used even if its store time is earlier, so that a clock of the store that is set back does not stop the host from following the store.

The decision is new in `knowledge_relay::supersedes_read`, and entry_test covers it; the fault was found by reading, and no test shows it through a process.

--- a/src/entry/fleet_watch.cpp
+++ b/src/entry/fleet_watch.cpp
@@ -391,6 +391,9 @@
         return !bad_registrations_.contains(key);
     });
     schedule_.postpone(store_data::servers, schedule_.options().read_interval);
+    if (relay_.supersedes_read(sent_at, page.store_time)) {
+        return;
+    }
     apply_listing(listed_servers_, read_at);
     relay_.on_listing_read(listed_servers_, page.store_time);
 }
--- a/src/entry/knowledge_relay.cpp
+++ b/src/entry/knowledge_relay.cpp
@@ -442,6 +442,7 @@
         return;
     }
     if (callbacks_.on_listing(servers, milliseconds(part.store_ms))) {
+        listing_received_at_ = clock_.now();
         set_listing(servers, milliseconds(part.store_ms));
     }
 }
--- a/src/entry/knowledge_relay.hpp
+++ b/src/entry/knowledge_relay.hpp
@@ -74,6 +74,15 @@
     void on_listing_read(std::span<const fleet_state::backend_server> servers,
                          std::chrono::milliseconds store_time);
 
+    // Whether another host has sent a newer listing since a read of the store
+    // was sent that now returns one of `store_time`. A later read is used even
+    // if its store time is earlier: the clock of the store may be set back.
+    bool supersedes_read(base::time_point sent_at,
+                         std::chrono::milliseconds store_time) const {
+        return sent_at <= listing_received_at_ &&
+               store_time.count() < known_.listing_store_ms;
+    }
+
     // Sets the listing that this host holds without sending anything.
     void set_listing(std::span<const fleet_state::backend_server> servers,
                      std::chrono::milliseconds store_time);
@@ -133,6 +142,8 @@
     std::vector<server_message> listing_;
     std::string configuration_text_;
     base::time_point listing_requested_at_{};
+    // When the last listing of another host was accepted.
+    base::time_point listing_received_at_ = base::time_point::min();
     base::time_point configuration_requested_at_{};
     // Address of the host that last told of a newer configuration.
     std::string configuration_source_;
--- a/src/entry/knowledge_relay_test.cpp
+++ b/src/entry/knowledge_relay_test.cpp
@@ -317,3 +317,22 @@
     hosts.deliver();
     CHECK(hosts.peer.listing.size() == 3);
 }
+
+// Guards against calls to a server that was removed: a slow response of the
+// store must not replace the newer listing of another host.
+TEST_CASE("a listing read before a newer one was received is outdated") {
+    const auto [read_after, store_time, expected] =
+        GENERATE(table<milliseconds, milliseconds, bool>({
+            {0ms, 4900ms, true},
+            {0ms, 5100ms, false},
+            {20ms, 4900ms, false},
+        }));
+    two_hosts hosts;
+    hosts.time.advance(1s);
+    const auto sent_at = hosts.time.now() + read_after;
+    hosts.time.advance(10ms);
+    CHECK_FALSE(hosts.peer.relay.supersedes_read(sent_at, 4900ms));
+    hosts.reader.relay.on_listing_read(make_listing(2), 5000ms);
+    hosts.deliver();
+    CHECK(hosts.peer.relay.supersedes_read(sent_at, store_time) == expected);
+}
