Charge organisations for the output that their streams used

Two organisations with equal work did not get equal shares if one stated a higher maximum of output tokens than it generates: its requests were charged with half of the maximum, and nothing corrected that.

Cause: `token_cost` takes the caller's estimate or half of its maximum, and the end of a request was not taken into account.

`overload::output_usage` learns the tokens of an event by service and the ratio of used to stated tokens by organisation and route.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -129,8 +129,10 @@
     environment_.retries.on_request(service_->name);
     environment_.hedging.on_request(service_->name, work());
     if (is_engine_request()) {
-        environment_.shares.on_requested(organisation_,
-                                         fleet_state::token_cost(description_));
+        cost_ = fleet_state::token_cost(
+            description_, environment_.outputs.expected_tokens(
+                              {organisation_, route_->name}, description_));
+        environment_.shares.on_requested(organisation_, cost_);
     }
     select_server();
 }
@@ -414,8 +416,7 @@
     // A resumed stream has begun before.
     if (is_engine_request() && !response_started_ &&
         std::exchange(usage_counted_, false)) {
-        environment_.shares.on_grant_unused(
-            organisation_, fleet_state::token_cost(description_));
+        environment_.shares.on_grant_unused(organisation_, cost_);
     }
 }
 
@@ -425,6 +426,20 @@
     }
 }
 
+void call::correct_cost(call_outcome outcome) {
+    if (!is_engine_request() || relay_.event_count() == 0) {
+        return;
+    }
+    const auto tokens = environment_.outputs.on_ended(
+        {organisation_, route_->name}, service_->name, description_,
+        relay_.event_count(), outcome == call_outcome::delivered);
+    if (tokens) {
+        environment_.shares.on_cost_corrected(
+            organisation_,
+            fleet_state::token_cost(description_, *tokens) - cost_);
+    }
+}
+
 void call::handle_outcome(overload::attempt_outcome outcome,
                           std::string_view reason) {
     using overload::attempt_outcome;
@@ -535,8 +550,7 @@
         return;
     }
     if (is_engine_request() && !std::exchange(usage_counted_, true)) {
-        environment_.shares.on_refused(organisation_,
-                                       fleet_state::token_cost(description_),
+        environment_.shares.on_refused(organisation_, cost_,
                                        overload::refusal_point::engines);
     }
     const refusal response = make_refusal(description_.id, cause, retry_after);
@@ -619,6 +633,7 @@
     cancel_second();
     release_slot();
     end_trial();
+    correct_cost(outcome);
     if (deadline_timer_) {
         environment_.loop.cancel(*std::exchange(deadline_timer_, std::nullopt));
     }
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -29,6 +29,7 @@
 #include "overload/domain_reachability.hpp"
 #include "overload/host_admission.hpp"
 #include "overload/host_load.hpp"
+#include "overload/output_usage.hpp"
 #include "overload/retry_window.hpp"
 #include "overload/share_meter.hpp"
 
@@ -49,6 +50,7 @@
     quarantine_link& quarantine;
     overload::share_meter& shares;
     overload::completion_estimate& completions;
+    overload::output_usage& outputs;
     call_reporter& reporter;
     std::string failure_domain;
     // Longest time since the configuration was confirmed for which its API keys
@@ -267,6 +269,8 @@
     void return_connection(const fleet_state::backend_server& server,
                            std::shared_ptr<backend_connection> connection);
     void release_slot();
+    // Replaces the expected cost of a stream that has ended by what it used.
+    void correct_cost(call_outcome outcome);
     void on_deadline();
 
     // Ends the call with a 503 response if the request has not run, otherwise
@@ -298,6 +302,9 @@
     std::optional<base::timer_id> deadline_timer_;
     // Holds the slot of an engine request.
     std::shared_ptr<place_search> search_;
+    // Weighted tokens that are charged to the organisation's share, as expected
+    // when the request arrived.
+    double cost_ = 0;
     // The cost was added to the organisation's usage as granted or refused.
     bool usage_counted_ = false;
     // When the current server was chosen or its engine granted the slot.
--- a/src/entry/call_placement.cpp
+++ b/src/entry/call_placement.cpp
@@ -203,7 +203,7 @@
                              ? description_.prompt_tokens
                              : description_.prompt.back().tokens;
     request.output_tokens = fleet_state::estimate_output_tokens(description_);
-    request.cost = fleet_state::token_cost(description_);
+    request.cost = cost_;
     return result;
 }
 
@@ -218,8 +218,7 @@
     // If the attempt fails and another slot is granted, the usage is not
     // counted again.
     if (!std::exchange(usage_counted_, true)) {
-        environment_.shares.on_granted(organisation_,
-                                       fleet_state::token_cost(description_));
+        environment_.shares.on_granted(organisation_, cost_);
     }
     server_selected_at_ = environment_.loop.now();
     const auto* server = environment_.servers.find_available(server_id);
--- a/src/entry/call_second_attempt.cpp
+++ b/src/entry/call_second_attempt.cpp
@@ -129,8 +129,7 @@
         return;
     }
     if (is_engine_request()) {
-        environment_.shares.on_granted(organisation_,
-                                       fleet_state::token_cost(description_));
+        environment_.shares.on_granted(organisation_, cost_);
     }
     second_ = open_attempt(server, second_search_.get());
     report_.attempts = attempts_sent_;
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -210,6 +210,7 @@
           quarantine_,
           share_meter_,
           completion_estimate_,
+          output_usage_,
           call_reporter_,
           settings_.host.failure_domain,
           from_ms(settings_.bounds.revocation_ms) - notification_margin,
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -135,6 +135,7 @@
     liveness_probe liveness_probe_;
     overload::share_meter share_meter_;
     overload::completion_estimate completion_estimate_;
+    overload::output_usage output_usage_;
     hedging::second_attempt_policy hedging_;
     overload::fleet_shares fleet_shares_;
     call_reporter call_reporter_;
--- a/src/fleet_state/request_description.cpp
+++ b/src/fleet_state/request_description.cpp
@@ -17,8 +17,11 @@
 }
 
 double token_cost(const request_description& request) {
-    return request.prompt_tokens +
-           output_token_weight * estimate_output_tokens(request);
+    return token_cost(request, estimate_output_tokens(request));
+}
+
+double token_cost(const request_description& request, double output_tokens) {
+    return request.prompt_tokens + output_token_weight * output_tokens;
 }
 
 bool is_rejected_for_weights(const request_description& request,
--- a/src/fleet_state/request_description.hpp
+++ b/src/fleet_state/request_description.hpp
@@ -46,6 +46,8 @@
 // tokens count once, output tokens twice. Zero for a request to a plain HTTP
 // service, which has no tokens.
 double token_cost(const request_description& request);
+// As above, with another number of output tokens than the estimate.
+double token_cost(const request_description& request, double output_tokens);
 
 // Properties of a response besides its status and body.
 struct response_description {
--- a/src/overload/share_meter.cpp
+++ b/src/overload/share_meter.cpp
@@ -42,6 +42,17 @@
     recent_.on_refused(organisation, cost);
 }
 
+void share_meter::on_cost_corrected(std::string_view organisation,
+                                    double difference) {
+    add(organisation, &usage_counts::requested, difference);
+    add(organisation, &usage_counts::granted, difference);
+    if (difference < 0) {
+        recent_.on_grant_unused(organisation, -difference);
+    } else {
+        recent_.on_granted(organisation, difference);
+    }
+}
+
 std::vector<share_meter::refused_organisation> share_meter::take_most_refused(
     std::size_t max_count) {
     std::vector<refused_organisation> result;
--- a/src/overload/share_meter.hpp
+++ b/src/overload/share_meter.hpp
@@ -58,6 +58,9 @@
     void on_grant_unused(std::string_view organisation, double cost);
     void on_refused(std::string_view organisation, double cost,
                     refusal_point where);
+    // Corrects the cost of a granted request that has ended by this difference,
+    // in what was requested and in what was granted.
+    void on_cost_corrected(std::string_view organisation, double difference);
 
     // Counts since this process started.
     const counts_by_organisation& totals() const { return totals_; }
--- a/src/overload/share_meter_test.cpp
+++ b/src/overload/share_meter_test.cpp
@@ -60,3 +60,18 @@
     tested.on_grant_unused("a", 1000);
     CHECK(tested.recent_usage()[0].granted == 0);
 }
+
+// Guards against a share that stays charged with what a request stated.
+TEST_CASE("a corrected cost replaces the expected one") {
+    const double difference = GENERATE(-80., 50.);
+    paused_clock time;
+    share_meter tested(time.view());
+    tested.on_requested("a", 100);
+    tested.on_granted("a", 100);
+    tested.on_cost_corrected("a", difference);
+    CHECK(tested.totals().at("a").requested == 100 + difference);
+    CHECK(tested.totals().at("a").granted == 100 + difference);
+    REQUIRE(tested.recent_usage().size() == 1);
+    CHECK(tested.recent_usage()[0].granted == Approx(100 + difference));
+    CHECK(tested.recent_usage()[0].requested == Approx(100 + difference));
+}
--- a/tests/entry_path/stream_path_test.py
+++ b/tests/entry_path/stream_path_test.py
@@ -325,6 +325,50 @@
                 expected_metric = 'resumptions_total{service="model",' + outcome_label
                 self.assertIn(expected_metric, metrics.decode())
 
+    async def granted_tokens(self):
+        """Returns the granted cost of each organisation, from the metrics."""
+        _, _, metrics = await fetch(self.daemon.operator_port, "/metrics")
+        result = {}
+        for line in metrics.decode().splitlines():
+            if 'what="granted"' in line and not line.startswith("#"):
+                organisation = line.split('organisation="')[1].split('"')[0]
+                result[organisation] = float(line.rsplit(" ", 1)[1])
+        return result
+
+    # Guards against a share that depends on the maximum that requests state:
+    # both organisations generate equally long streams.
+    async def test_organisations_are_charged_for_what_they_used(self):
+        config = configuration(2, ROUTES)
+        config["tenants"] = [
+            {"name": "exact", "api-keys": ["key-1"]},
+            {"name": "high", "api-keys": ["key-2"]},
+        ]
+        self.store.write_json("op", "config", config)
+        for server in self.model:
+            server.event_count, server.pause_s = 12, 0
+
+        async def is_in_force():
+            status, _, _ = await self.fetch("/read/", key="key-2")
+            return status == 200
+
+        await wait_until(is_in_force)
+
+        async def send_pairs(count):
+            for _ in range(count):
+                for key, usage in [("key-1", "100,96"), ("key-2", "100,4096")]:
+                    status, _, _ = await self.fetch(
+                        "/chat/", method="POST", key=key, Bronzehub_Token_Usage=usage
+                    )
+                    self.assertEqual(status, 200)
+
+        await send_pairs(40)
+        before = await self.granted_tokens()
+        await send_pairs(20)
+        after = await self.granted_tokens()
+        exact, high = (after[name] - before[name] for name in ("exact", "high"))
+        self.assertLess(high / exact, 1.1)
+        self.assertGreater(high / exact, 0.9)
+
 
 if __name__ == "__main__":
     run_cases()
