Fuzz the syntax of requests and their forwarded form

The decoder fuzz test gets the cases of the request syntax as its corpus and checks three more things: a request reads the same however its bytes arrive in parts, an accepted one has only valid fields, and its forwarded form is one request with the same target and body.

--- a/tests/fuzz/decoder_fuzz_test.cpp
+++ b/tests/fuzz/decoder_fuzz_test.cpp
@@ -5,13 +5,16 @@
 #include <array>
 #include <catch2/catch.hpp>
 #include <cstdlib>
+#include <fstream>
 #include <functional>
+#include <nlohmann/json.hpp>
 #include <random>
 #include <string>
 #include <vector>
 
 #include "base/hash.hpp"
 #include "base/ip_endpoint.hpp"
+#include "entry/backend_connection.hpp"
 #include "entry/entry_settings.hpp"
 #include "entry/event_relay.hpp"
 #include "entry/host_directory.hpp"
@@ -189,6 +192,66 @@
     }
 }
 
+// The cases of the request syntax, without their mark for fields of a test.
+std::vector<std::string> request_cases() {
+    std::ifstream file("tests/support/request_syntax_cases.json");
+    std::vector<std::string> result;
+    for (const auto& each : nlohmann::json::parse(file)) {
+        result.push_back(each["bytes"]);
+        std::erase(result.back(), '@');
+    }
+    return result;
+}
+
+// A request that was parsed from bytes that arrived in parts of this size.
+struct parsed_request {
+    parsed_request(std::string_view bytes, std::size_t part_size) {
+        net::message_parser parser(
+            net::message_kind::request, 65536,
+            {[](net::message_head&) {},
+             [this](std::string_view part) { body.append(part); }});
+        while (!bytes.empty()) {
+            const std::string_view part = bytes.substr(0, part_size);
+            const std::size_t consumed = parser.feed(part);
+            bytes.remove_prefix(consumed);
+            if (consumed < part.size()) {
+                break;
+            }
+        }
+        end = parser.current_state();
+        head = parser.head();
+    }
+    net::message_head head;
+    std::string body;
+    net::message_parser::state end = net::message_parser::state::idle;
+};
+
+// A complete request must read the same however its bytes arrive, and must be
+// one request with the same body when it is forwarded.
+void check_request(const std::string& bytes) {
+    using state = net::message_parser::state;
+    const parsed_request whole(bytes, bytes.size());
+    const parsed_request parts(bytes, 3);
+    CHECK(whole.end == parts.end);
+    if (whole.end != state::complete) {
+        return;
+    }
+    CHECK(whole.head.headers == parts.head.headers);
+    CHECK(whole.body == parts.body);
+    CHECK(std::ranges::all_of(whole.head.headers, base::is_valid_header));
+    const std::string forwarded = entry::encode_request(
+        {whole.head.method, whole.head.target,
+         wire::encode_forwarded_headers(whole.head.headers, {}), whole.body});
+    const parsed_request next(forwarded, forwarded.size());
+    // HTTP/1.0 requests may have no Host field.
+    if (base::find_header(whole.head.headers, "Host")) {
+        CHECK(next.end == state::complete);
+        CHECK(next.head.method == whole.head.method);
+        CHECK(next.head.target == whole.head.target);
+        CHECK(next.body == whole.body);
+    }
+}
+
 // An event relay that gets the bytes in parts and then from another server.
 void check_events(const std::string& bytes) {
     entry::event_relay relay;
@@ -334,6 +397,7 @@
           "Bronzehub-Replica-Load: 3,1,8\r\nKeep-Alive: timeout=10\r\n"
           "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX: y\r\n\r\n"},
          check_message},
+        {"request", request_cases(), check_request},
         {"events",
          {"id: 1\ndata: a\n\nid: 2\ndata: b\n\n: comment\n\n",
           "id: 18446744073709551615\ndata: a\n\ndata: b\n\n"},
