Remove the time at which a domain was taken back

Nothing used evacuated_domains::taken_back_at since the owners of schedules count the engines of a domain as cold when it is removed from the set. The test of the time is replaced by one that the removal is reported exactly once, which is what they rely on.

--- a/src/entry/fleet_watch.cpp
+++ b/src/entry/fleet_watch.cpp
@@ -48,7 +48,6 @@
       relay_(hosts, loop.clock(), std::move(send), incarnation,
              make_relay_callbacks()),
       schedule_(fleet_state::make_read_schedule_options(max_age), loop.clock()),
-      evacuated_(loop.clock()),
       on_evacuation_change_(std::move(on_evacuation_change)) {}
 
 relay_callbacks fleet_watch::make_relay_callbacks() {
--- a/src/evacuation/evacuated_domains.cpp
+++ b/src/evacuation/evacuated_domains.cpp
@@ -46,27 +46,7 @@
     std::ranges::set_difference(domains_, domains,
                                 std::back_inserter(change.removed));
     domains_ = std::move(domains);
-    const base::time_point now = clock_.now();
-    if (!change.is_empty()) {
-        std::erase_if(taken_back_at_, [&](const auto& entry) {
-            return now - entry.second > taken_back_lifetime ||
-                   domains_.contains(entry.first);
-        });
-    }
-    std::ranges::for_each(change.removed, [&](const std::string& domain) {
-        taken_back_at_[domain] = now;
-    });
     return change;
 }
 
-std::optional<base::time_point> evacuated_domains::taken_back_at(
-    std::string_view domain) const {
-    const auto found = taken_back_at_.find(domain);
-    if (found == taken_back_at_.end() ||
-        clock_.now() - found->second > taken_back_lifetime) {
-        return std::nullopt;
-    }
-    return found->second;
-}
-
 }  // namespace bronzehub::evacuation
--- a/src/evacuation/evacuated_domains.hpp
+++ b/src/evacuation/evacuated_domains.hpp
@@ -16,17 +16,12 @@
 #define BRONZEHUB_EVACUATION_EVACUATED_DOMAINS_HPP
 
 #include <cstdint>
-#include <map>
-#include <optional>
 #include <set>
 #include <span>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
-#include "base/clock.hpp"
-
 namespace bronzehub::evacuation {
 
 using domain_set = std::set<std::string, std::less<>>;
@@ -53,11 +48,6 @@
     // list of so many names fits into a datagram, and fleets have far fewer
     // domains.
     static constexpr std::size_t max_domains = 128;
-    // Time for which `taken_back_at` remembers a domain. Longer than backend
-    // servers take to become warm.
-    static constexpr std::chrono::minutes taken_back_lifetime{10};
-
-    explicit evacuated_domains(base::clock clock) : clock_(std::move(clock)) {}
 
     // Handles the complete set as of this version.
     set_change on_set(domain_set domains, std::uint64_t version);
@@ -75,20 +65,12 @@
     std::uint64_t version() const { return version_; }
     const domain_set& domains() const { return domains_; }
 
-    // When this host learnt that the domain was taken back. Empty if the domain
-    // is evacuated, or was not taken back within `taken_back_lifetime`. Its
-    // backend servers may be cold since then.
-    std::optional<base::time_point> taken_back_at(
-        std::string_view domain) const;
-
 private:
     set_change apply(domain_set domains, std::uint64_t version);
 
-    base::clock clock_;
     bool known_ = false;
     std::uint64_t version_ = 0;
     domain_set domains_;
-    std::map<std::string, base::time_point, std::less<>> taken_back_at_;
 };
 
 }  // namespace bronzehub::evacuation
--- a/src/evacuation/evacuated_domains_test.cpp
+++ b/src/evacuation/evacuated_domains_test.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-using namespace std::chrono_literals;
-using bronzehub::base::paused_clock;
 using bronzehub::evacuation::domain_change;
 using bronzehub::evacuation::domain_set;
 using bronzehub::evacuation::evacuated_domains;
@@ -20,8 +18,7 @@
 TEST_CASE("only a newer version changes the set") {
     auto [version, expected] = GENERATE(
         table<std::uint64_t, domain_set>({{4, {"a"}}, {5, {"a"}}, {6, {"b"}}}));
-    paused_clock time;
-    evacuated_domains tested(time.view());
+    evacuated_domains tested;
     CHECK_FALSE(tested.is_known());
     CHECK(tested.on_set({"a"}, 5).added.size() == 1);
     const auto change = tested.on_set({"b"}, version);
@@ -34,8 +31,7 @@
     auto [base, version, expected] =
         GENERATE(table<std::uint64_t, std::uint64_t, domain_set>(
             {{5, 8, {"b"}}, {3, 8, {"b"}}, {6, 8, {"a"}}, {3, 5, {"a"}}}));
-    paused_clock time;
-    evacuated_domains tested(time.view());
+    evacuated_domains tested;
     const std::vector<domain_change> changes{
         {"c", 4, true}, {"b", 7, true}, {"a", 8, false}};
     tested.on_changes(0, changes, version);
@@ -65,8 +61,7 @@
         changes.push_back({domain, version, evacuated});
         history.push_back(next);
     }
-    paused_clock time;
-    evacuated_domains tested(time.view());
+    evacuated_domains tested;
     for (int message = 0; message < 100; ++message) {
         const std::size_t version = below(versions) + 1;
         if (below(3) == 0) {
@@ -84,26 +79,22 @@
 }
 
 // Guards against servers that get their full load at once although their domain
-// was out of use.
-TEST_CASE("the time at which a domain was taken back is remembered") {
-    paused_clock time;
-    evacuated_domains tested(time.view());
-    tested.on_set({"a"}, 1);
-    CHECK_FALSE(tested.taken_back_at("a"));
-    time.advance(1s);
-    tested.on_set({}, 2);
-    CHECK(tested.taken_back_at("a") == time.now());
-    time.advance(evacuated_domains::taken_back_lifetime + 1s);
-    CHECK_FALSE(tested.taken_back_at("a"));
-    tested.on_set({"a"}, 3);
-    tested.on_set({}, 4);
-    CHECK(tested.taken_back_at("a") == time.now());
+// was out of use: the owner treats the servers of a removed domain as cold.
+TEST_CASE("a domain that is taken back is reported once") {
+    evacuated_domains tested;
+    tested.on_set({"a", "b"}, 1);
+    const auto change = tested.on_set({"b"}, 2);
+    CHECK(change.removed == std::vector<std::string>{"a"});
+    CHECK(change.added.empty());
+    CHECK(tested.on_set({"b"}, 2).is_empty());
+    CHECK(tested.on_set({"b"}, 3).is_empty());
+    CHECK(tested.on_set({"a", "b"}, 4).added == std::vector<std::string>{"a"});
+    CHECK(tested.on_set({"b"}, 5).removed == std::vector<std::string>{"a"});
 }
 
 // Guards against rows of the store that make a set too large for a datagram.
 TEST_CASE("the number of evacuated domains is limited") {
-    paused_clock time;
-    evacuated_domains tested(time.view());
+    evacuated_domains tested;
     domain_set many;
     for (int i = 0; i < 500; ++i) {
         many.insert("domain-" + std::to_string(i));
