--- a/tests/fuzz/decoder_fuzz_test.cpp
+++ b/tests/fuzz/decoder_fuzz_test.cpp
@@ -321,7 +321,7 @@
     overload::share_meter meter_;
     entry::schedule_link schedule_;
     entry::share_exchange exchange_;
-    evacuation::evacuated_domains evacuated_{time_.view()};
+    evacuation::evacuated_domains evacuated_;
     entry::knowledge_relay relay_;
 };
 
