--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,6 +13,8 @@
 EVENTS = 100
 EVENT_GAP_S = 0.05
 RESTART_DELAY_S = 1.0
+# `contact-window-ms`: from then on the machine is in touch.
+CONTACT_WINDOW_S = 3.0
 # Of the rule: more than three.
 ALLOWED = 3
 
@@ -20,8 +22,7 @@
 class Engine(h.Replica):
     """A replica that answers with streams, from `Last-Event-Id` on."""
 
-    async def handle(self, writer, request_id, target, body):
-        raise NotImplementedError
+    running = 0
 
     async def serve(self, reader, writer):
         while True:
@@ -38,11 +39,15 @@
                 f"Bronzehub-Replica-Signature: {self.name}.{request_id}\r\n"
                 "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
             )
-            for number in range(first, EVENTS + 1):
-                event = f"id: {number}\ndata: shift {number}\n\n".encode()
-                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
-                await writer.drain()
-                await asyncio.sleep(EVENT_GAP_S)
+            self.running += 1
+            try:
+                for number in range(first, EVENTS + 1):
+                    event = f"id: {number}\ndata: shift {number}\n\n".encode()
+                    writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                    await writer.drain()
+                    await asyncio.sleep(EVENT_GAP_S)
+            finally:
+                self.running -= 1
             writer.write(b"0\r\n\r\n")
             await writer.drain()
 
@@ -89,8 +94,10 @@
 class LookupClient:
     """Sends one lookup after the other on a kept connection."""
 
-    def __init__(self, record, address):
+    def __init__(self, record, address, number):
         self.record, self.address = record, address
+        # Different, so that the clients are never all between two lookups.
+        self.work_s = 0.05 + 0.005 * number
         self.answered = 0
         # Ids of lookups whose kept connection ended without an answer.
         self.unanswered = []
@@ -106,7 +113,7 @@
             while time.monotonic() < until:
                 request_id = h.new_id()
                 try:
-                    writer.write(h.encode_request(request_id, "/roster/x?work=0.06"))
+                    writer.write(h.encode_request(request_id, f"/roster/x?work={self.work_s:.3f}"))
                     line, _, _ = await asyncio.wait_for(h.read_message(reader), 9)
                 except (asyncio.IncompleteReadError, ConnectionError):
                     self.record(f"lookup {request_id}: the connection ends without an answer")
@@ -174,15 +181,16 @@
     try:
         await machine.wait_ready()
         keeper = asyncio.ensure_future(keep_running(record, machine))
+        await asyncio.sleep(CONTACT_WINDOW_S + 0.5)
         until = time.monotonic() + 8
-        clients = [LookupClient(record, ip) for _ in range(LOOKUP_CLIENTS)]
+        clients = [LookupClient(record, ip, n) for n in range(LOOKUP_CLIENTS)]
         tasks = [asyncio.ensure_future(client.run(until)) for client in clients]
         tasks += [asyncio.ensure_future(stream(record, ip, n)) for n in range(STREAMS)]
         await asyncio.sleep(1.0)
         write_configuration(11, [lookups])
         await asyncio.sleep(1.5)
         if h.trouble():
-            await engines[0].crash()
+            await max(engines, key=lambda engine: engine.running).crash()
         await asyncio.gather(*tasks)
         run = {run[0] for replica in lookup_replicas for run in replica.runs}
         lost = [i for client in clients for i in client.unanswered if i in run]
