--- a/review/8/case.py
+++ b/review/8/case.py
@@ -23,7 +23,7 @@
     """
 
     grey = False
-    due = 1.0
+    due = 0.0
 
     async def handle(self, writer, request_id, target, body):
         self.due += FAILED_SHARE
