Keep the binding of a call until a new configuration allows it

Cause: call::revalidate_route replaced the configuration, the route and the organisation one after another and ended the call at the first failed check. The end of the call corrects the cost of the stream by the name of the route, which was null.

Ruled out: that a resumed attempt uses the removed route; the call ends before it selects a server.

Conclusion: a lookup returns a route_binding, which the call takes over as a whole or not at all, so that a call that ends is accounted under the binding of its last attempt. This holds as well when a key is removed, and when a route changes its kind or service. A stream of a removed route is still not resumed.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -114,9 +114,11 @@
         refuse("draining", draining_retry_after);
         return;
     }
-    if (!find_route() || !check_key()) {
+    auto binding = find_binding(configuration_);
+    if (!binding) {
         return;
     }
+    bind(*std::move(binding));
     milliseconds limit = route_->timeout;
     if (description_.deadline) {
         limit = limit.count() > 0 ? std::min(limit, *description_.deadline)
@@ -125,7 +127,6 @@
     deadline_ = request_.arrived_at + limit;
     deadline_timer_ = environment_.loop.run_after(
         time_left(), [self = shared_from_this()] { self->on_deadline(); });
-    choose_service();
     environment_.retries.on_request(service_->name);
     environment_.hedging.on_request(service_->name, work());
     if (is_engine_request()) {
@@ -137,69 +138,90 @@
     select_server();
 }
 
-bool call::find_route() {
-    report_.configuration_version = configuration_->version();
+std::optional<call::route_binding> call::find_binding(
+    fleet_state::configuration_pointer configuration) {
+    report_.configuration_version = configuration->version();
     report_.configuration_age_ms =
         duration_cast<milliseconds>(
             environment_.loop.now() -
             environment_.fleet.configuration_confirmed_at())
             .count();
-    route_ = configuration_->find_route(description_.host, request_.target);
-    if (route_ == nullptr) {
+    const auto* route =
+        configuration->find_route(description_.host, request_.target);
+    if (route == nullptr) {
         respond_error(not_found, "no route");
-        return false;
+        return std::nullopt;
     }
-    report_.route = route_->name;
-    return true;
+    report_.route = route->name;
+    auto organisation = check_key(*configuration, *route);
+    if (!organisation) {
+        return std::nullopt;
+    }
+    const auto& service = choose_service(*configuration, *route);
+    return route_binding{std::move(configuration), route, &service,
+                         *std::move(organisation)};
 }
 
-bool call::check_key() {
-    if (!configuration_->requires_keys()) {
-        return true;
+void call::bind(route_binding binding) {
+    configuration_ = std::move(binding.configuration);
+    route_ = binding.route;
+    service_ = binding.service;
+    organisation_ = std::move(binding.organisation);
+    report_.service = service_->name;
+    report_.organisation = organisation_;
+}
+
+std::optional<std::string> call::check_key(
+    const fleet_state::configuration& configuration,
+    const fleet_state::route& route) {
+    if (!configuration.requires_keys()) {
+        return std::string();
     }
-    if (!route_->is_public && !has_fresh_keys(environment_)) {
+    if (!route.is_public && !has_fresh_keys(environment_)) {
         refuse("keys not fresh", configuration_retry_after);
-        return false;
+        return std::nullopt;
     }
     const auto organisation =
-        organisation_of(environment_, *configuration_, description_);
-    if (!route_->is_public && !organisation) {
+        organisation_of(environment_, configuration, description_);
+    if (!route.is_public && !organisation) {
         respond_error(unauthorised, "unknown key");
-        return false;
+        return std::nullopt;
     }
-    organisation_ = organisation.value_or("");
-    report_.organisation = organisation_;
-    return true;
+    return std::string(organisation.value_or(""));
 }
 
-bool call::revalidate_route() {
+bool call::rebind() {
     const auto& newest = environment_.fleet.configuration();
-    if (newest == configuration_) {
-        // The keys may have become too old while the request waited. A stream
-        // that has begun is the same request and may be resumed.
-        return response_started_ || organisation_.empty() ||
-               has_fresh_keys(environment_) || check_key();
-    }
-    const std::string service = service_->name;
-    // `service_` points into it until the service is chosen again.
-    const auto previous = std::exchange(configuration_, newest);
-    if (!find_route() || !check_key()) {
+    // The keys may have become too old while the request waited. A stream that
+    // has begun is the same request and may be resumed.
+    if (newest == configuration_ &&
+        (response_started_ || organisation_.empty() ||
+         has_fresh_keys(environment_))) {
+        return true;
+    }
+    auto binding = find_binding(newest);
+    if (!binding) {
         return false;
     }
-    choose_service();
-    // The new route must allow what was decided after an earlier attempt: the
-    // resumption of a stream, by the same service, or a second run.
-    if (response_started_ ? !may_resume() || service_->name != service
-                          : may_have_run_ && !route_->is_idempotent()) {
+    if (!allows_another_attempt(*binding)) {
         respond_error(bad_gateway, "route changed");
         return false;
     }
+    bind(*std::move(binding));
     return true;
 }
 
-bool call::may_resume() const {
-    return route_->resumable && relay_.can_resume() &&
-           route_->kind == fleet_state::route_kind::streaming;
+bool call::allows_another_attempt(const route_binding& binding) const {
+    if (response_started_) {
+        return may_resume(*binding.route) &&
+               binding.service->name == service_->name;
+    }
+    return !may_have_run_ || binding.route->is_idempotent();
+}
+
+bool call::may_resume(const fleet_state::route& route) const {
+    return route.resumable && relay_.can_resume() &&
+           route.kind == fleet_state::route_kind::streaming;
 }
 
 overload::completion_estimate::server_load call::load_of(
@@ -223,7 +245,7 @@
 }
 
 void call::send(const fleet_state::backend_server& server) {
-    if (!revalidate_route()) {
+    if (!rebind()) {
         return;
     }
     if (!check_segments()) {
@@ -456,7 +478,7 @@
     context.status = attempt_->status;
     context.idempotent = route_->is_idempotent();
     context.response_started = response_started_;
-    context.resumable = may_resume();
+    context.resumable = may_resume(*route_);
     context.attempts_sent = attempts_sent_;
     context.max_attempts = route_->max_attempts;
     context.within_deadline = time_left() > base::duration(0);
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -147,14 +147,33 @@
         bool waits_for_memory = false;
     };
 
+    // What a configuration determines for the request. The pointers refer to
+    // objects of the configuration.
+    struct route_binding {
+        fleet_state::configuration_pointer configuration;
+        const fleet_state::route* route = nullptr;
+        const fleet_state::service* service = nullptr;
+        // Empty without a valid key.
+        std::string organisation;
+    };
+
     // Whether the host accepts the request. Counts an accepted request.
     bool admit();
-    // These two end the call with an error response and return false if the
-    // check fails.
-    bool find_route();
-    bool check_key();
+    // Looks up the route of the request and checks its key. If the
+    // configuration does not allow the request, ends the call, which keeps its
+    // present binding until then, and returns nullopt.
+    std::optional<route_binding> find_binding(
+        fleet_state::configuration_pointer configuration);
+    void bind(route_binding binding);
+    // Returns the organisation of the request's key. Ends the call and returns
+    // nullopt if the route needs a key and the request has no valid one.
+    std::optional<std::string> check_key(
+        const fleet_state::configuration& configuration,
+        const fleet_state::route& route);
     // Draws one of the route's services by their weights.
-    void choose_service();
+    const fleet_state::service& choose_service(
+        const fleet_state::configuration& configuration,
+        const fleet_state::route& route) const;
     void select_server();
     void select_plain_server();
     // Ends the call because no backend server is left to try.
@@ -185,11 +204,14 @@
     void on_slot_granted(const slot_response& response,
                          const std::string& server);
     void on_engines_full(base::duration retry_after);
-    // Applies a configuration change to the route. Ends the call and returns
+    // Binds the request to the newest configuration. Ends the call and returns
     // false if the request is no longer allowed.
-    bool revalidate_route();
+    bool rebind();
+    // Whether the binding allows what was decided after an earlier attempt: the
+    // resumption of a stream, by the same service, or a second run.
+    bool allows_another_attempt(const route_binding& binding) const;
     // Whether another server may resume the stream that has begun.
-    bool may_resume() const;
+    bool may_resume(const fleet_state::route& route) const;
     overload::completion_estimate::server_load load_of(
         const fleet_state::backend_server& server) const;
     // Whether the caller must learn what became of the request before the
--- a/src/entry/call_placement.cpp
+++ b/src/entry/call_placement.cpp
@@ -20,8 +20,10 @@
     return service_ != nullptr && service_->engine_slots > 0;
 }
 
-void call::choose_service() {
-    const auto& choices = route_->services;
+const fleet_state::service& call::choose_service(
+    const fleet_state::configuration& configuration,
+    const fleet_state::route& route) const {
+    const auto& choices = route.services;
     std::uint64_t total = 0;
     for (const auto& choice : choices) {
         total += choice.weight;
@@ -37,9 +39,8 @@
     }
     // Used if the configuration does not define the service: no server matches.
     static const fleet_state::service unknown{};
-    const fleet_state::service* found = configuration_->find_service(name);
-    service_ = found == nullptr ? &unknown : found;
-    report_.service = service_->name;
+    const auto* found = configuration.find_service(name);
+    return found == nullptr ? unknown : *found;
 }
 
 void call::select_server() {
--- a/tests/entry_path/stream_path_test.py
+++ b/tests/entry_path/stream_path_test.py
@@ -134,6 +134,9 @@
         self.assertEqual(len(ids), 3 if resumed else 1)
         self.assertEqual(received.endswith(b"0\r\n\r\n"), resumed)
 
+    async def has_status(self, path, expected):
+        return (await self.fetch(path, key=""))[0] == expected
+
     async def read_resumable_stream(self):
         """Requests a resumable stream; returns all bytes of the connection."""
         reader, writer = await send_request(
@@ -217,6 +220,49 @@
         self.assertIn(b"id: 1\n", received)
         self.assertFalse(received.endswith(b"0\r\n\r\n"))
 
+    # Guards against a process that ends, and with it all its other requests,
+    # when a stream is interrupted after a configuration has removed its route,
+    # its key or its service.
+    async def test_interrupted_stream_of_a_removed_route_ends_alone(self):
+        routes = ROUTES + [route("/new/", "idempotent", public=True)]
+        for removed, routes_left, keys in [
+            ("route", [each for each in routes if each["path-prefix"] != "/plan/"], ("key-1",)),
+            ("key", routes, ("key-2",)),
+            ("service", routes, ("key-1",)),
+        ]:
+            with self.subTest(removed=removed):
+                version = self.store.version + 1
+                self.store.write_json("op", "config", configuration(version, ROUTES))
+                self.set_behaviour(self.plain, "respond")
+                await wait_until(lambda: self.has_status("/new/", 404))
+                self.set_behaviour(self.model, "stream_cut")
+                for server in self.model:
+                    server.executions.clear()
+                    server.resume_behaviours = ["stream"]
+                    server.cut_allowed.clear()
+                stream = asyncio.create_task(self.read_resumable_stream())
+
+                async def request_started():
+                    return len(self.executions(self.model)) == 1
+
+                await wait_until(request_started)
+                config = configuration(version + 1, routes_left, keys)
+                if removed == "service":
+                    config["services"] = config["services"][:1]
+                self.store.write_json("op", "config", config)
+                await wait_until(lambda: self.has_status("/new/", 200))
+                for server in self.plain:
+                    server.pause_s = 0.5
+                lookup = asyncio.create_task(self.fetch("/open/"))
+                await asyncio.sleep(0.2)
+                for server in self.model:
+                    server.cut_allowed.set()
+                received = await stream
+                self.assertIn(b"id: 1\n", received)
+                self.assertFalse(received.endswith(b"0\r\n\r\n"))
+                self.assertEqual((await lookup)[0], 200)
+                self.assertIsNone(self.daemon.process.poll())
+
     # Guards against chunked encoding in a response to HTTP/1.0, which does not
     # have it. There, a close of the connection ends a complete stream, so an
     # interrupted stream must end with a reset.
