Deliver no refusal of a server without its statement that nothing ran

Cause: decide_action_without_retry replaced 408, 429 and 503 by 502 only if an earlier attempt might have run. The attempt that was answered might have run too: a server that did not run a request says so in a header.

Ruled out: a header that is lost on the way, and a refusal of the host's own; the responses bore the server's signature and no such header.

Conclusion: such a response is a 502 without a signature, whatever the kind of the route. It doesn't count as usable either, so a second attempt under way replaces it.

--- a/src/cli/explanation.cpp
+++ b/src/cli/explanation.cpp
@@ -76,6 +76,10 @@
                    "The backend server's connection ended before its answer; "
                    "the request may have run.",
                    ""},
+    cause_sentence{"unconfirmed refusal",
+                   "The backend server refused the request without stating "
+                   "that it did not run it; the request may have run.",
+                   ""},
     cause_sentence{"stream broken",
                    "The backend server's stream ended early and could not go "
                    "on elsewhere.",
--- a/src/cli/explanation_test.cpp
+++ b/src/cli/explanation_test.cpp
@@ -30,6 +30,7 @@
             {"refused", "backend servers paused", "asked for a pause"},
             {"refused", "not sent", "could be reached"},
             {"refused", "rejected", "did not run"},
+            {"failed", "unconfirmed refusal", "without stating"},
             {"rejected", "no route", "no route"},
             {"rejected", "unknown key", "does not hold its key"},
             {"failed", "broken", "may have run"},
--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -26,6 +26,10 @@
 // head, in one system call.
 constexpr std::size_t max_copied_body_bytes = std::size_t{16} * 1024;
 
+// Cause of a 502 in place of a server's refusal that does not state that the
+// request was not executed.
+constexpr std::string_view unconfirmed_refusal = "unconfirmed refusal";
+
 constexpr int first_redirection = 300;
 constexpr int unauthorised = 401;
 constexpr int not_found = 404;
@@ -465,7 +469,6 @@
 void call::handle_outcome(overload::attempt_outcome outcome,
                           std::string_view reason) {
     using overload::attempt_outcome;
-    const bool earlier_may_have_run = may_have_run_;
     if (outcome == attempt_outcome::not_sent ||
         outcome == attempt_outcome::rejected) {
         attempts_sent_ -= outcome == attempt_outcome::not_sent ? 1 : 0;
@@ -482,7 +485,6 @@
     context.attempts_sent = attempts_sent_;
     context.max_attempts = route_->max_attempts;
     context.within_deadline = time_left() > base::duration(0);
-    context.earlier_attempt_may_have_run = earlier_may_have_run;
     attempt_action action = overload::decide_action(context);
     if ((action == attempt_action::reroute &&
          ++connect_failures_ > max_connect_failures) ||
@@ -492,9 +494,8 @@
     }
     report_.cause = overload::to_string(outcome);
     const bool usable =
-        outcome == attempt_outcome::stream_ended ||
-        (outcome == attempt_outcome::answered &&
-         attempt_->status < first_server_error && !response_started_);
+        overload::is_usable(outcome, attempt_->status) &&
+        (outcome == attempt_outcome::stream_ended || !response_started_);
     if (!usable) {
         environment_.reporter.on_unusable_attempt(
             report_, absl::StrCat("attempt ", report_.cause), reason,
@@ -531,7 +532,10 @@
             refuse(overload::to_string(context.outcome), time_to_next_server());
             return;
         case attempt_action::respond_bad_gateway:
-            respond_error(bad_gateway, overload::to_string(context.outcome));
+            respond_error(bad_gateway,
+                          context.outcome == overload::attempt_outcome::answered
+                              ? unconfirmed_refusal
+                              : overload::to_string(context.outcome));
             return;
         case attempt_action::abort_response:
             caller_->abort();
--- a/src/entry/call_second_attempt.cpp
+++ b/src/entry/call_second_attempt.cpp
@@ -7,12 +7,6 @@
 #include "overload/placement.hpp"
 
 namespace bronzehub::entry {
-namespace {
-
-constexpr int first_server_error = 500;
-
-}  // namespace
-
 double call::work() const {
     return is_engine_request() ? fleet_state::token_cost(description_) : 1;
 }
@@ -154,10 +148,7 @@
     const auto used = second_->connection;
     const auto server = second_->server;
     const auto outcome = classify_attempt(*second_, result);
-    const bool usable = outcome == overload::attempt_outcome::stream_ended ||
-                        (outcome == overload::attempt_outcome::answered &&
-                         second_->status < first_server_error);
-    if (usable) {
+    if (overload::is_usable(outcome, second_->status)) {
         promote_second(false);
         on_exchange_end(result, reason);
     } else {
--- a/src/overload/attempt_policy.cpp
+++ b/src/overload/attempt_policy.cpp
@@ -20,6 +20,12 @@
 
 }  // namespace
 
+bool is_usable(attempt_outcome outcome, int status) {
+    return outcome == attempt_outcome::stream_ended ||
+           (outcome == attempt_outcome::answered &&
+            status < first_server_error && !denies_execution(status));
+}
+
 attempt_action decide_action_without_retry(const attempt_context& context) {
     if (context.outcome == attempt_outcome::stream_ended) {
         return attempt_action::deliver;
@@ -30,8 +36,9 @@
     }
     switch (context.outcome) {
         case attempt_outcome::answered:
-            return context.earlier_attempt_may_have_run &&
-                           denies_execution(context.status)
+            // A server that did not execute the request has a header for that;
+            // the status alone is no evidence.
+            return denies_execution(context.status)
                        ? attempt_action::respond_bad_gateway
                        : attempt_action::deliver;
         case attempt_outcome::stream_ended:
--- a/src/overload/attempt_policy.hpp
+++ b/src/overload/attempt_policy.hpp
@@ -41,8 +41,6 @@
     std::uint32_t max_attempts = 1;
     // The deadline of the request has not passed.
     bool within_deadline = true;
-    // An earlier attempt at the same request may have been executed.
-    bool earlier_attempt_may_have_run = false;
 };
 
 enum class attempt_action : std::uint8_t {
@@ -56,13 +54,19 @@
     // Respond 503 with Retry-After: the request was not executed and will not
     // be.
     respond_unavailable,
-    // Respond 502: the request may have been executed.
+    // Respond 502: the request may have been executed. Also replaces a status
+    // that would tell the caller otherwise.
     respond_bad_gateway,
     // Abort a response that was partly sent, so that the caller does not take
     // it for complete.
     abort_response,
 };
 
+// Whether the response of the attempt is a result for the caller. A server
+// error is not, nor is a refusal without the server's statement that it did not
+// execute the request.
+bool is_usable(attempt_outcome outcome, int status);
+
 attempt_action decide_action(const attempt_context& context);
 
 // The action if the request can't be sent again, for example because the retry
--- a/tests/entry_path/entry_path_test.py
+++ b/tests/entry_path/entry_path_test.py
@@ -116,6 +116,27 @@
         self.assertEqual(len(self.executions(self.plain)), 2)
         self.assertEqual(status, 502)
 
+    # Guards against a caller that repeats a request which has executed, because
+    # its server failed with a status that promises that it has not, but without
+    # the header that states so.
+    async def test_refusal_of_a_server_that_executed_is_no_promise(self):
+        for status in [408, 429, 503]:
+            for servers, path in [
+                (self.plain, "/pay/"),
+                (self.plain, "/read/"),
+                (self.model, "/chat/"),
+            ]:
+                with self.subTest(status=status, path=path):
+                    self.set_behaviour(servers, f"error {status}")
+                    received, headers, _ = await self.fetch(path, method="POST")
+                    self.assertEqual(received, 502)
+                    self.assertNotIn("retry-after", headers)
+                    self.assertNotIn(SIGNATURE_HEADER.lower(), headers)
+                    executions = self.executions(servers)
+                    self.assertEqual(len(executions), 2 if (status, path) == (503, "/read/") else 1)
+                    for server in servers:
+                        server.executions.clear()
+
     # Guards against a request that executes twice because its route became
     # non-idempotent while the first attempt was under way.
     async def test_request_is_not_retried_once_its_route_is_non_idempotent(self):
