Promise nothing for a request whose second attempt broke off

Seen by callers, with second attempts switched on: a lookup that its second server may have run was answered 503, "not run", when the first server then rejected it.

Before: test_a_broken_second_attempt_may_have_run gets 503.

--- a/src/entry/call_second_attempt.cpp
+++ b/src/entry/call_second_attempt.cpp
@@ -158,6 +158,8 @@
             if (second_search_) {
                 second_search_->release_unreached();
             }
+        } else if (outcome != overload::attempt_outcome::rejected) {
+            may_have_run_ = true;
         }
         environment_.reporter.on_second_attempt(report_, "failed");
         close_second(result == exchange_result::complete);
--- a/tests/entry_path/second_attempt_path_test.py
+++ b/tests/entry_path/second_attempt_path_test.py
@@ -4,6 +4,8 @@
 The comment of each test names the failure that the test guards against.
 """
 
+import asyncio
+
 from entry_path_fixture import Daemon, EntryPathCase, fetch, run_cases, wait_until
 
 # Enough for the quantile of a limit of ten percent.
@@ -69,6 +71,30 @@
         )
         self.assertEqual(status, 504)
 
+    async def test_a_broken_second_attempt_may_have_run(self):
+        # Guards against a 503, which promises that the request has not run,
+        # after the second server got it and the first one rejected it.
+        await self.learn("/read/x")
+        broken = asyncio.Event()
+        received = []
+
+        async def respond(server, reader, writer, request_id, headers):
+            received.append(server.name)
+            if len(received) == 1:
+                await broken.wait()
+                await asyncio.sleep(0.1)
+                writer.write(server.rejection(request_id))
+                return True
+            broken.set()
+            return await server.handle_drop(reader, writer, request_id, headers)
+
+        for server in self.plain:
+            server.behaviour = "reject_late"
+            server.handle_reject_late = lambda *a, server=server: respond(server, *a)
+        status, _, _ = await fetch(self.hedging.caller_port, "/read/x", request_id="late")
+        self.assertEqual(len(set(received)), 2)
+        self.assertEqual(status, 502)
+
     async def test_without_the_setting_there_is_no_second_attempt(self):
         # Guards against extra work on servers whose operators did not ask for it.
         self.hedging.stop()
