Report a reset as an error even if a write meets it first

The layer below had the fault: the kernel reports a reset once, and a read after that sees an orderly end. byte_channel passed that end on when a write or is_closed_by_peer had met the reset first. No response was being read at the times at which the entry daemon writes, which is all that kept callers from it.

A response whose status is 000, or no final status at all, is answered 502 and was before; a test now guards that.

--- a/src/net/byte_channel.cpp
+++ b/src/net/byte_channel.cpp
@@ -91,7 +91,13 @@
     char byte = 0;
     asio::error_code error;
     socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error && error != asio::error::would_block;
+    if (!error || error == asio::error::would_block) {
+        return false;
+    }
+    if (error != asio::error::eof) {
+        socket_error_ = error;
+    }
+    return true;
 }
 
 void byte_channel::resume_reading() {
@@ -120,6 +126,7 @@
     if (error) {
         // Reported from the loop, so that `on_closed` does not run within a
         // call of `write`.
+        socket_error_ = error;
         paused_ = true;
         loop_.run_after(base::duration(0), [self = shared_from_this(), error] {
             self->fail(error);
@@ -224,7 +231,7 @@
     const bool notify = !closing_;
     close();
     if (notify && hooks) {
-        hooks->on_closed(error);
+        hooks->on_closed(socket_error_ ? socket_error_ : error);
     }
 }
 
--- a/src/net/byte_channel.hpp
+++ b/src/net/byte_channel.hpp
@@ -111,6 +111,9 @@
     std::uint64_t bytes_written_ = 0;
     base::duration linger_time_ = default_linger_time;
     std::optional<base::timer_id> linger_timer_;
+    // The first error that a write or a check found. The kernel reports a reset
+    // only once, and a read after that sees an orderly end of the connection.
+    asio::error_code socket_error_;
     bool open_ = true;
     bool paused_ = false;
     bool read_pending_ = false;
--- a/src/net/byte_channel_test.cpp
+++ b/src/net/byte_channel_test.cpp
@@ -4,6 +4,9 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <functional>
+#include <optional>
 
 namespace {
 
@@ -92,3 +95,80 @@
     CHECK(channel->send_memory() < 100);
     channel->close();
 }
+
+namespace {
+
+// A channel whose peer has sent "part" and then reset the connection, which the
+// channel has not noticed yet.
+struct reset_connection {
+    reset_connection() {
+        channel->start(
+            {[this](std::string_view bytes) { received += bytes; },
+             [this](const asio::error_code& error) { closed_with = error; }});
+    }
+
+    void run_until(const std::function<bool()>& condition) {
+        while (!condition()) {
+            REQUIRE(loop.context().run_one_for(std::chrono::seconds(5)) == 1);
+        }
+    }
+
+    void reset_peer() {
+        peer.send(asio::buffer(std::string("part")));
+        run_until([this] { return received == "part"; });
+        peer.set_option(asio::socket_base::linger(true, 0));
+        peer.close();
+    }
+
+    event_loop loop;
+    tcp::acceptor listener{loop.context(),
+                           {asio::ip::address_v4::loopback(), 0}};
+    tcp::socket peer{[this] {
+        tcp::socket result(loop.context());
+        result.connect(listener.local_endpoint());
+        return result;
+    }()};
+    std::shared_ptr<byte_channel> channel =
+        std::make_shared<byte_channel>(loop, listener.accept());
+    std::string received;
+    std::optional<asio::error_code> closed_with;
+};
+
+}  // namespace
+
+// Guards against a response without a length that is taken for complete: the
+// kernel reports a reset once, and a read after that sees an orderly end.
+TEST_CASE("a reset is reported as an error, whichever call meets it first") {
+    using action = std::function<void(byte_channel&)>;
+    const auto [name, before_reset,
+                after_reset] = GENERATE(table<const char*, action, action>({
+        {"read", [](byte_channel&) {}, [](byte_channel&) {}},
+        {"write", [](byte_channel&) {},
+         [](byte_channel& channel) { channel.write("rest"); }},
+        {"write of a shared body", [](byte_channel&) {},
+         [](byte_channel& channel) {
+             channel.write_shared(std::make_shared<const std::string>("rest"));
+         }},
+        {"write of buffered bytes",
+         [](byte_channel& channel) {
+             channel.write(std::string(std::size_t{8} << 20U, 'u'));
+         },
+         [](byte_channel&) {}},
+        {"write before reading is resumed", [](byte_channel&) {},
+         [](byte_channel& channel) {
+             channel.pause_reading();
+             channel.write("rest");
+             channel.resume_reading();
+         }},
+        {"look at the connection", [](byte_channel&) {},
+         [](byte_channel& channel) { CHECK(channel.is_closed_by_peer()); }},
+    }));
+    CAPTURE(name);
+    reset_connection tested;
+    before_reset(*tested.channel);
+    tested.reset_peer();
+    after_reset(*tested.channel);
+    tested.run_until([&] { return tested.closed_with.has_value(); });
+    CHECK(*tested.closed_with != asio::error::eof);
+    CHECK(*tested.closed_with);
+}
--- a/tests/entry_path/entry_path_test.py
+++ b/tests/entry_path/entry_path_test.py
@@ -95,6 +95,22 @@
                 if status == 200:
                     self.assertEqual(body, b"whole")
 
+    # Guards against a response whose status is no final status of HTTP and that
+    # reaches the caller as the answer to its request.
+    async def test_response_without_a_valid_status_is_no_answer(self):
+        for status in ["000", "001", "099", "100", "199", "1000", "2x0", "20", "-200", "0x200"]:
+            for servers, path in [
+                (self.plain, "/pay/"),
+                (self.plain, "/read/"),
+                (self.model, "/chat/"),
+                (self.model, "/plan/"),
+            ]:
+                with self.subTest(status=status, path=path):
+                    self.set_behaviour(servers, f"status {status}")
+                    received, _, body = await self.fetch(path, method="POST")
+                    self.assertEqual(received, 502)
+                    self.assertNotIn(b"whole", body)
+
     # Guards against an idempotent request that fails with one faulty server,
     # although another server could serve it.
     async def test_idempotent_request_is_retried_at_another_server(self):
--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -460,6 +460,12 @@
         writer.write(response(status or self.error_status, headers, b"error"))
         return True
 
+    async def handle_status(self, _reader, writer, request_id, _headers, status):
+        """Responds with any text as the status, then closes."""
+        head = self.signed_head(request_id, "Content-Length: 5\r\n\r\n")
+        writer.write((head.replace("200 OK", f"{status} X") + "whole").encode())
+        return False
+
     async def handle_headers_only(self, _reader, writer, request_id, _headers):
         writer.write((self.signed_head(request_id, "Content-Length: 5\r\n\r\n")).encode())
         return True
