--- a/tests/entry_path/crowd_path_test.py
+++ b/tests/entry_path/crowd_path_test.py
@@ -39,6 +39,9 @@
 # Ordinary callers that keep their connections beside a crowd.
 KEPT_CALLERS = 20
 KEPT_REQUESTS = 20
+# Callers of a crowd to which a server sends bytes without end. The test and the
+# server share one processor, so a larger crowd would only wait for its bytes.
+FLOODED_CALLERS = 24
 # Longest time for which a caller of the crowd may wait to send its bytes. A
 # host need not read them.
 SEND_LIMIT_S = 10
@@ -322,6 +325,37 @@
         await self.send_crowd(b"", size=DESCRIPTOR_CROWD)
         await self.check_host()
 
+    # A server that sends bytes without end to each caller of a crowd must not
+    # end the requests of other callers.
+    async def test_endless_responses_to_a_crowd(self):
+        self.set_behaviour(self.plain, "flood")
+        for flood_kind in [
+            "binary",
+            "reason_phrase",
+            "field_value",
+            "fields",
+            "interim",
+            "body",
+            "body_until_close",
+            "chunk_size",
+            "chunk_extension",
+            "trailers",
+            "rejection",
+            "after_response",
+        ]:
+            self.plain[0].flood_kind = flood_kind
+            crowd = asyncio.gather(
+                *(self.read_slowly(PLAIN_PATH, 16) for _ in range(FLOODED_CALLERS))
+            )
+            statuses = [
+                await self.fetch_as_ordinary_caller(STREAMING_PATH) for _ in range(KEPT_REQUESTS)
+            ]
+            await crowd
+            self.assertEqual(set(statuses), {200}, flood_kind)
+            self.assertIsNone(self.daemon.process.poll(), flood_kind)
+        self.plain[0].behaviour = "respond"
+        await self.check_host()
+
     # A host must not refuse a large request while it has nothing else to do.
     async def test_one_large_request_in_calm(self):
         body = os.urandom(MAX_BODY_BYTES // 2).hex().encode()
--- a/tests/entry_path/flood_path_test.py
+++ b/tests/entry_path/flood_path_test.py
@@ -92,10 +92,10 @@
         self.assertEqual((status, len(body)), (200, 2_000_000))
         self.assertEqual(len(self.executions(self.plain)), 1)
 
-    # Guards against endless chunk extensions and trailers, which no limit of the
-    # head or the body counts.
+    # Guards against endless chunk sizes, extensions and trailers, which no limit
+    # of the head or the body counts.
     async def test_endless_framing_fails_the_attempt(self):
-        for flood_kind in ["chunk_extension", "chunk_extensions", "trailers"]:
+        for flood_kind in ["chunk_size", "chunk_extension", "chunk_extensions", "trailers"]:
             with self.subTest(flood_kind=flood_kind):
                 await self.check_flood(self.plain, flood_kind, "/pay/", 502)
 
--- a/tests/entry_path/platform_standin.py
+++ b/tests/entry_path/platform_standin.py
@@ -638,6 +638,7 @@
             "body_until_close": (head + b"\r\n", filler),
             "content_length": (head + b"Content-Length: 1000000000\r\n\r\n", b"a"),
             "unsigned": (unsigned.encode(), b"1\r\na\r\n"),
+            "chunk_size": (signed, b"0" * 32768),
             "chunk_extension": (signed + b"1;", filler),
             "chunk_extensions": (signed, b"1;" + filler + b"\r\na\r\n"),
             "trailers": (signed + b"0\r\n", b"x: y\r\n" * 4096),
