Keep a search for an engine while its callbacks run

A callback of place_search can end its call, or replace the search, when a configuration has moved the route to another service meanwhile. The search was then read after it was freed.

Cause: call::search_engine held no reference of its own while the search began. The search now holds itself in start and try_next, so that call::search_second_engine need not.

Before: "a callback may release the last reference to its search" fails, and valgrind reports invalid reads. After: entry_test passes, valgrind reports none in that case.

--- a/src/entry/call_second_attempt.cpp
+++ b/src/entry/call_second_attempt.cpp
@@ -112,9 +112,7 @@
     auto excluded = unsuitable_servers();
     excluded.insert(attempt_->server.id);
     const auto now = environment_.loop.now();
-    // Held until the call returns: a callback may end the search.
-    const auto search = second_search_;
-    search->start(excluded, now, now);
+    second_search_->start(excluded, now, now);
 }
 
 void call::send_second(const fleet_state::backend_server& server) {
--- a/src/entry/place_search.cpp
+++ b/src/entry/place_search.cpp
@@ -20,6 +20,8 @@
 void place_search::start(const std::set<std::string>& excluded,
                          base::time_point start_deadline,
                          base::time_point extended_start_deadline) {
+    // A callback may release the last other reference.
+    const auto self = shared_from_this();
     criteria_.request.start_deadline = start_deadline;
     criteria_.request.extended_start_deadline = extended_start_deadline;
     excluded_ = excluded;
@@ -222,6 +224,7 @@
 }
 
 void place_search::try_next() {
+    const auto self = shared_from_this();
     release();
     if (final_round_) {
         begin_round();
--- a/src/entry/place_search.hpp
+++ b/src/entry/place_search.hpp
@@ -70,7 +70,8 @@
 };
 
 // Not thread-safe. Owned by shared pointers, of which each open slot request
-// holds one. A callback may release the search or start it again.
+// holds one. A callback may release the search, start it again, or drop its
+// owner's reference.
 class place_search : public std::enable_shared_from_this<place_search> {
 public:
     // Engines to try for a request whose shared prompt segments are too short
