Soak removed routes, removed services and refusals of executed requests

Two more series of faults run beside the others: configurations that remove a route or a service of requests under way and bring it back, and servers that fail an executed request with 408, 429 or 503 without stating that it did not run. The check of refusals covers the three statuses. The existing faults of a seed keep their random values.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -6,8 +6,10 @@
 delay, reset or stall the connections to backend servers and to the store, in
 one direction or in both; daemons are stopped, killed, paused and started again;
 servers send faulty responses, drain and come back; streams are interrupted and
-the servers that should resume them respond in every way; keys are revoked. Some
-callers read slowly, some send several requests on a connection. The seed
+the servers that should resume them respond in every way; servers fail requests that
+they executed with the status of a rejection; routes and services are removed and come
+back; keys are revoked. Some callers read slowly, some send several requests on a
+connection. The seed
 determines the faults, which overlap. The soak checks the guarantees of the
 daemon against what callers and backend servers receive. It prints one JSON line
 for each counter and exits with a non-zero status after a violation.
@@ -99,6 +101,9 @@
     "respond",
     "hang",
 ]
+# Statuses that tell a caller that its request was not executed. A server that
+# executed it may use them too, without the header that confirms them.
+REFUSAL_STATUSES = [408, 429, 503]
 RESUME_SUCCESSES = ["stream", f"stream_restart {EVENT_COUNT}"]
 # A key must not work this long after its revocation: `revocation_ms` in the
 # settings of the daemons.
@@ -257,11 +262,13 @@
 
         return Daemon(ProxiedStore, f"host-{number}")
 
-    def write_configuration(self):
+    def write_configuration(self, removed=""):
+        """Writes a configuration without the route or service `removed`."""
         keys = [key for key in KEYS if key not in self.revoked_at]
-        self.store.write_json(
-            "op", "config", configuration(self.version, ROUTES, keys)
-        )
+        routes = [each for each in ROUTES if each["path-prefix"] != removed]
+        content = configuration(self.version, routes, keys)
+        content["services"] = [each for each in content["services"] if each["name"] != removed]
+        self.store.write_json("op", "config", content)
         self.version += 1
 
     def stop_daemon(self, daemon):
@@ -479,6 +486,26 @@
         self.revoked_at[KEYS[1]] = time.monotonic()
         self.write_configuration()
 
+    async def change_configurations(self, until):
+        """Removes routes and services of requests under way; they come back."""
+        rng = self.make_rng("configurations")
+        while time.monotonic() < until:
+            await asyncio.sleep(rng.uniform(0.2, 1))
+            self.write_configuration(rng.choice(["/plan/", "/chat/", "/read/", "model", "plain"]))
+            self.count("removals from the configuration")
+            await asyncio.sleep(rng.uniform(0.2, 0.6))
+            self.write_configuration()
+
+    async def refuse_executed_requests(self, until):
+        """One server after another executes requests, then seems to refuse them."""
+        rng = self.make_rng("refusals")
+        while time.monotonic() < until:
+            await asyncio.sleep(rng.uniform(0.2, 1))
+            server = rng.choice(self.servers)
+            server.behaviour = f"error {rng.choice(REFUSAL_STATUSES)}"
+            await asyncio.sleep(rng.uniform(0.1, 0.5))
+            server.behaviour = server.default_behaviour
+
     async def inject_faults(self, until):
         kinds = [
             self.fault_server,
@@ -521,8 +548,8 @@
             path, key, sent_at, status = self.results[request_id]
             if count > MAX_EXECUTIONS[path] or (path == "/pay/" and count > 1):
                 self.report_violation(request_id, f"executed {count} times")
-            if path in ("/pay/", "/chat/") and status == 503:
-                self.report_violation(request_id, "executed although refused with 503")
+            if path in ("/pay/", "/chat/") and status in REFUSAL_STATUSES:
+                self.report_violation(request_id, f"executed although refused with {status}")
             revoked_at = self.revoked_at.get(key)
             if (
                 path != "/open/"
@@ -585,7 +612,12 @@
     try:
         await soak.recover()
         until = time.monotonic() + seconds
-        await asyncio.gather(soak.run_callers(until), soak.inject_faults(until - 1))
+        await asyncio.gather(
+            soak.run_callers(until),
+            soak.inject_faults(until - 1),
+            soak.change_configurations(until - 1),
+            soak.refuse_executed_requests(until - 1),
+        )
         await soak.recover()
         soak.check_executions()
     finally:
