Draw the service of a route in fleet_state

The draw needs nothing of a call. As a lookup of the configuration it has a test of its own: shares by weight, and a service that is not defined.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "base/hash.hpp"
 #include "entry/refusal.hpp"
 #include "platform/message_codec.hpp"
 
@@ -161,7 +162,8 @@
     if (!organisation) {
         return std::nullopt;
     }
-    const auto& service = choose_service(*configuration, *route);
+    const auto& service = configuration->choose_service(
+        *route, base::stable_hash(description_.id));
     return route_binding{std::move(configuration), route, &service,
                          *std::move(organisation)};
 }
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -170,10 +170,6 @@
     std::optional<std::string> check_key(
         const fleet_state::configuration& configuration,
         const fleet_state::route& route);
-    // Draws one of the route's services by their weights.
-    const fleet_state::service& choose_service(
-        const fleet_state::configuration& configuration,
-        const fleet_state::route& route) const;
     void select_server();
     void select_plain_server();
     // Ends the call because no backend server is left to try.
--- a/src/entry/call_placement.cpp
+++ b/src/entry/call_placement.cpp
@@ -20,29 +20,6 @@
     return service_ != nullptr && service_->engine_slots > 0;
 }
 
-const fleet_state::service& call::choose_service(
-    const fleet_state::configuration& configuration,
-    const fleet_state::route& route) const {
-    const auto& choices = route.services;
-    std::uint64_t total = 0;
-    for (const auto& choice : choices) {
-        total += choice.weight;
-    }
-    std::uint64_t remaining = base::stable_hash(description_.id) % total;
-    std::string_view name = choices.back().service;
-    for (const auto& choice : choices) {
-        if (remaining < choice.weight) {
-            name = choice.service;
-            break;
-        }
-        remaining -= choice.weight;
-    }
-    // Used if the configuration does not define the service: no server matches.
-    static const fleet_state::service unknown{};
-    const auto* found = configuration.find_service(name);
-    return found == nullptr ? unknown : *found;
-}
-
 void call::select_server() {
     attempt_.reset();
     if (is_engine_request()) {
--- a/src/fleet_state/configuration.cpp
+++ b/src/fleet_state/configuration.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cctype>
+#include <functional>
+#include <numeric>
 #include <utility>
 
 namespace bronzehub::fleet_state {
@@ -59,6 +61,23 @@
                                     : &content_.services[found->second];
 }
 
+const service& configuration::choose_service(const route& route,
+                                             std::uint64_t hash) const {
+    static const service unknown{};
+    const std::uint64_t total = std::transform_reduce(
+        route.services.begin(), route.services.end(), std::uint64_t{0},
+        std::plus<>(),
+        [](const auto& choice) { return std::uint64_t{choice.weight}; });
+    std::uint64_t remaining = hash % total;
+    auto chosen = route.services.begin();
+    while (remaining >= chosen->weight) {
+        remaining -= chosen->weight;
+        ++chosen;
+    }
+    const service* found = find_service(chosen->service);
+    return found == nullptr ? unknown : *found;
+}
+
 const organisation* configuration::find_organisation_by_key(
     std::string_view key) const {
     const auto found = content_.keys.find(std::string(key));
--- a/src/fleet_state/configuration.hpp
+++ b/src/fleet_state/configuration.hpp
@@ -123,6 +123,12 @@
 
     const service* find_service(std::string_view name) const;
 
+    // Draws one of the route's services by their weights. Equal hashes give the
+    // same service as long as the route stays the same. If the configuration
+    // does not define the service, returns one without a name, which no server
+    // belongs to. Requires a route with services.
+    const service& choose_service(const route& route, std::uint64_t hash) const;
+
     // Returns the organisation that an API key belongs to, or nullptr.
     const organisation* find_organisation_by_key(std::string_view key) const;
 
--- a/src/fleet_state/configuration_test.cpp
+++ b/src/fleet_state/configuration_test.cpp
@@ -1,10 +1,12 @@
 #include "fleet_state/configuration.hpp"
 
 #include <catch2/catch.hpp>
+#include <map>
 
 using bronzehub::fleet_state::configuration;
 using bronzehub::fleet_state::configuration_content;
 using bronzehub::fleet_state::route;
+using bronzehub::fleet_state::weighted_service;
 
 namespace {
 
@@ -56,3 +58,30 @@
     CHECK(tested.find_organisation_by_key("key-1")->name == "one");
     CHECK(tested.find_organisation_by_key("key-2") == nullptr);
 }
+
+// Guards against a split that favours a service, and against a process that
+// ends because a route names a service that the configuration does not define.
+TEST_CASE("the services of a route are drawn by their weights") {
+    using expected_shares = std::map<std::string, int>;
+    const auto [services, expected] =
+        GENERATE(table<std::vector<weighted_service>, expected_shares>({
+            {{{"one", 1}}, {{"one", 100}}},
+            {{{"one", 1}, {"two", 3}}, {{"one", 25}, {"two", 75}}},
+            {{{"two", 3}, {"one", 1}, {"two", 6}}, {{"one", 10}, {"two", 90}}},
+            {{{"missing", 1}, {"one", 1}}, {{"", 50}, {"one", 50}}},
+        }));
+    configuration_content content;
+    content.routes = {make_route("all", "/")};
+    content.routes[0].services = services;
+    content.services.resize(2);
+    content.services[0].name = "one";
+    content.services[1].name = "two";
+    const configuration tested(std::move(content));
+    const route* found = tested.find_route("shop.example", "/");
+    REQUIRE(found != nullptr);
+    expected_shares shares;
+    for (std::uint64_t hash = 0; hash < 100; ++hash) {
+        ++shares[tested.choose_service(*found, hash).name];
+    }
+    CHECK(shares == expected);
+}
