--- a/tests/entry_path/reset_path_test.py
+++ b/tests/entry_path/reset_path_test.py
@@ -98,6 +98,8 @@
 
     def check(self, received, path):
         if path == "/chat/":
+            # The stream has begun, so it can only be aborted.
+            self.assertTrue(received.startswith(b"HTTP/1.1 200 "), received)
             self.assertFalse(received.endswith(b"0\r\n\r\n"), received)
             self.assertNotIn(b"Content-Length", received)
         else:
