Break streams off beside removals in the soak

Removals seldom met a stream that was to be resumed, as streams last 0.1 s. One server now sends slowly and breaks off until the route or service is back.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -487,13 +487,21 @@
         self.write_configuration()
 
     async def change_configurations(self, until):
-        """Removes routes and services of requests under way; they come back."""
+        """Removes routes and services of requests under way; they come back.
+
+        One server breaks its streams off meanwhile, so that they are resumed
+        under the new configuration.
+        """
         rng = self.make_rng("configurations")
+        models = [server for server in self.servers if server.service == "model"]
         while time.monotonic() < until:
+            server = rng.choice(models)
+            server.behaviour, server.pause_s = "stream_cut 5", 0.08
             await asyncio.sleep(rng.uniform(0.2, 1))
             self.write_configuration(rng.choice(["/plan/", "/chat/", "/read/", "model", "plain"]))
             self.count("removals from the configuration")
             await asyncio.sleep(rng.uniform(0.2, 0.6))
+            server.behaviour, server.pause_s = server.default_behaviour, 0.01
             self.write_configuration()
 
     async def refuse_executed_requests(self, until):
