Show a caller that sends ahead and gets answers of other requests

Cause: bytes that arrive between the end of an answer and the timer that parses the bytes kept meanwhile are parsed first.

--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -346,7 +346,7 @@
                         "Bronzehub-Attempt-Id": request_id,
                         "Bronzehub-Replica-Signature": self.name,
                     },
-                    f"done by {self.service}".encode(),
+                    f"{path} done by {self.service}".encode(),
                 )
             )
             await writer.drain()
