--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -286,6 +286,7 @@
         self.store, self.record = store, record
         self.name, self.service, self.zone = name, service, zone
         self.sequence = 0
+        self.state = "available"
         self.born = int(time.time() * 1000)
         self.runs = []  # (time, request id, path)
         self.heart = None
@@ -306,7 +307,7 @@
                 "availability-zone": self.zone,
                 "version": "v1",
                 "capacity-slots": 6,
-                "state": "available",
+                "state": self.state,
                 "cold-remaining-ms": 0,
                 "sequence": self.sequence,
                 "born": self.born,
