--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -559,9 +559,13 @@
                 if asyncio.iscoroutine(result):
                     await result
 
+    def on_terminate(*_):
+        raise SystemExit(COULD_NOT_RUN)
+
+    signal.signal(signal.SIGTERM, on_terminate)
     try:
         outcome = asyncio.run(run())
-    except (OSError, asyncio.TimeoutError) as failure:
+    except Exception as failure:  # Whatever it is, it shows nothing of the rule.
         record.say("could not run:", repr(failure))
         outcome = COULD_NOT_RUN
     record.say(
